--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,670 @@
+package balance
+
+// One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Ended, Started,
+// ListChanged, ListFailed, Probed, Gone: they only update what is known), then pulls decisions,
+// one a call, until none is left (NextFinal, NextCancel, NextPosting, NextWatch), and calls again at
+// Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, bounds, pick.
+// Beside it stand six mechanisms:
+//  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
+//  2. Suspicion: a worker that fails or runs far slower than its hints say stands aside until a trial is due.
+//  3. Fresh workers: schedulers take turns by own number, each within its part of the cold budget.
+//  4. Further postings: what never ran goes again, what may have run as its scheme allows.
+//  5. Overload: what is held past its SLA time is given up, so that the rest is in time.
+//  6. Following the list: watched where it must be asked for, and watched again when the watch breaks.
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"slices"
+)
+
+const (
+	binsPerDouble = 4   // histogram bins: a band's edge is then off by a fifth of a cost at the most
+	numBins       = 160 // spans 40 doublings, more than any two jobs differ by
+	costsKept     = 500 // long enough that the few heavy costs do not move the edges at each one
+	costsNeeded   = 30  // fewer say little of where the work lies
+	rankEvery     = 1000.0
+	samplesKept   = 9 // an odd few: the median stands against the odd heavy one
+)
+
+// samples holds the last few measurements; figures are worked out from them when asked for.
+type samples struct {
+	v    [samplesKept]float64
+	n, i int
+}
+
+func (m *samples) add(x float64) {
+	m.v[m.i] = x
+	m.i = (m.i + 1) % samplesKept
+	m.n = min(m.n+1, samplesKept)
+}
+
+func (m *samples) at(q, none float64) float64 {
+	if m.n == 0 {
+		return none
+	}
+	s := m.v
+	slices.Sort(s[:m.n])
+	return s[int(q*float64(m.n-1)+0.5)]
+}
+
+type worker struct {
+	Listed
+	here     bool // named in the list this scheduler has
+	own      []*posting
+	most     int // most own postings seen running here together
+	delay    samples
+	pace     samples // running time over hinted work
+	free     float64 // as last reported; below 0: not reported
+	ownThen  int     // own postings when that report came
+	fullAt   float64 // when it last showed itself full, and with how many own postings
+	fullOwn  int
+	fails    int // in a row
+	aside    float64
+	sent     []sending // to a worker still cold
+	coldFrom float64
+	rank     int
+	tie      uint32
+}
+
+type sending struct{ at, work float64 }
+
+type posting struct {
+	t                *txn
+	w                *worker
+	no               int
+	at, start        float64
+	begun, done, off bool
+}
+
+type txn struct {
+	Txn
+	cost             float64
+	came, due, until float64 // due: the SLA time; until: the expiry
+	posts            []*posting
+	out              int
+	over             bool // answered or gone
+	fruitless        int  // postings that ended unsettled
+	ran              bool // an ended posting may have run
+	groupW           *worker
+	groupAt          float64
+	surplus          bool
+}
+
+type tenant struct{ came []float64 }
+
+// Scheduler holds all that one scheduler knows.
+type Scheduler struct {
+	terms    Terms
+	draws    uint32
+	txns     map[string]*txn
+	held     []*txn // open txns with no posting out, in order of arrival
+	over     []*txn // answered txns that still have postings out
+	byID     map[string]*worker
+	list     []*worker // those the list names, in its order
+	ranked   []*worker
+	edges    map[int][]float64
+	costs    []uint8
+	costAt   int
+	bins     [numBins]int
+	since    int // completions since the last ranking
+	rankAt   float64
+	stale    bool // the list changed since the last ranking
+	runs     samples
+	longest  []float64
+	tenants  []tenant
+	watching bool
+	watchAt  float64
+	watchBad int
+}
+
+// New returns a scheduler that knows nothing but its terms.
+func New(terms Terms) *Scheduler {
+	return &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{},
+		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
+}
+
+func (s *Scheduler) chance() uint32 {
+	var b [12]byte
+	binary.LittleEndian.PutUint64(b[:], s.terms.Seed)
+	binary.LittleEndian.PutUint32(b[8:], s.draws)
+	s.draws++
+	return crc32.ChecksumIEEE(b[:])
+}
+
+// ---- what is known ----
+
+// ListChanged takes the list, whole or only its changes.
+func (s *Scheduler) ListChanged(now float64, whole bool, rows []Listed) {
+	if whole {
+		for _, w := range s.list {
+			w.here = false
+		}
+	}
+	for _, r := range rows {
+		w := s.byID[r.ID]
+		if w == nil {
+			w = &worker{free: -1, fullAt: math.Inf(-1)}
+			s.byID[r.ID] = w
+		}
+		if w.Start != r.Start {
+			// What was learned of the process before its restart says nothing of this one.
+			*w = worker{own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), most: w.most}
+		}
+		w.Listed = r
+		w.here = r.State != Removed
+		if w.here && !slices.Contains(s.list, w) {
+			s.list = append(s.list, w)
+		}
+	}
+	s.list = slices.DeleteFunc(s.list, func(w *worker) bool {
+		if !w.here && len(w.own) == 0 {
+			delete(s.byID, w.ID)
+		}
+		return !w.here
+	})
+	s.stale = true
+}
+
+// Watched tells that the list request sent before was answered, or failed.
+func (s *Scheduler) Watched(now float64, ok bool) {
+	s.watching = ok
+	if ok {
+		s.watchBad = 0
+		return
+	}
+	// A list service that turns calls away is not helped by all schedulers calling at once again.
+	s.watchBad = min(s.watchBad+1, 4)
+	s.watchAt = now + 250*float64(int(1)<<s.watchBad)*(0.5+float64(s.chance()%1024)/1024)
+}
+
+// Arrived takes a new txn, which is now owed one final answer.
+func (s *Scheduler) Arrived(now float64, x Txn) {
+	row := &s.terms.Schemes[x.Scheme]
+	t := &txn{Txn: x, came: now, until: now + x.Left}
+	if x.Hint > 0 {
+		t.cost = x.Hint * max(x.Slots, 1)
+		s.keepCost(t.cost)
+	} else {
+		t.cost = s.median()
+	}
+	// A client's later try has used up part of its SLA time already: what is left of it, against the
+	// longest left that a txn of its scheme came with, tells how much.
+	s.longest[x.Scheme] = max(s.longest[x.Scheme], x.Left)
+	t.due = now + x.Left - s.longest[x.Scheme] + row.SLA + row.Stretch*t.run()
+	if x.Tenant < len(s.tenants) && s.terms.Quota[x.Tenant] > 0 {
+		t.surplus = s.tenants[x.Tenant].past(now, s.terms.Quota[x.Tenant]/float64(max(s.terms.Peers, 1)))
+	}
+	s.txns[x.Ref] = t
+	s.held = append(s.held, t)
+}
+
+// past tells whether this arrival is beyond the share, over the time that the last few arrivals took.
+func (n *tenant) past(now, quota float64) bool {
+	n.came = append(n.came, now)
+	keep := max(8, int(quota*4))
+	if len(n.came) > keep {
+		n.came = n.came[1:]
+	}
+	span := now - n.came[0]
+	return len(n.came) == keep && float64(keep-1) > quota*span/1000*1.1
+}
+
+func (t *txn) run() float64 { return t.cost / max(t.Slots, 1) }
+
+func (s *Scheduler) keepCost(c float64) {
+	b := uint8(min(max(int(math.Log2(max(c, 1e-3))*binsPerDouble)+40, 0), numBins-1))
+	if len(s.costs) < costsKept {
+		s.costs = append(s.costs, b)
+	} else {
+		s.bins[s.costs[s.costAt]]--
+		s.costs[s.costAt] = b
+		s.costAt = (s.costAt + 1) % costsKept
+	}
+	s.bins[b]++
+}
+
+func binCost(b int) float64 { return math.Exp2((float64(b-40) + 0.5) / binsPerDouble) }
+
+func (s *Scheduler) median() float64 {
+	n := 0
+	for b, k := range s.bins {
+		n += k
+		if k > 0 && 2*n >= len(s.costs) {
+			return binCost(b)
+		}
+	}
+	return 1
+}
+
+func (s *Scheduler) posting(ref string, no int) *posting {
+	t := s.txns[ref]
+	if t == nil || no < 0 || no >= len(t.posts) {
+		return nil
+	}
+	return t.posts[no]
+}
+
+// Started tells that a posting has begun to run.
+func (s *Scheduler) Started(now float64, ref string, no int) {
+	p := s.posting(ref, no)
+	if p == nil || p.done || p.begun {
+		return
+	}
+	waited := now-p.at > s.prompt(p.w)
+	p.begun, p.start = true, now
+	p.w.delay.add(now - p.at)
+	running := 0
+	for _, q := range p.w.own {
+		if q.begun {
+			running++
+		}
+	}
+	p.w.most = max(p.w.most, running)
+	p.w.fails, p.w.aside = 0, 0
+	if waited {
+		// The slot that came free went to this one, so it is as full as before.
+		p.w.fullAt, p.w.fullOwn = now, len(p.w.own)
+	}
+}
+
+// Ended tells how a posting ended, and whether its txn is over.
+func (s *Scheduler) Ended(now float64, ref string, no int, how Outcome, closed bool, load Load) {
+	p := s.posting(ref, no)
+	if p == nil || p.done {
+		return
+	}
+	t, w := p.t, p.w
+	p.done = true
+	w.own = slices.DeleteFunc(w.own, func(q *posting) bool { return q == p })
+	t.out--
+	s.report(w, load)
+	switch how {
+	case Done:
+		s.since++
+		w.fails, w.aside = 0, 0
+		if p.begun && t.Hint > 0 {
+			w.pace.add((now - p.start) / t.run())
+			s.runs.add(now - p.start)
+		}
+	case Full:
+		w.fullAt, w.fullOwn = now, len(w.own)
+	case NoConnect, Reset:
+		w.fails++
+		w.aside = now + 500*math.Exp2(float64(min(w.fails-1, 4)))
+	}
+	if !how.NeverRan() && how != Done {
+		s.mayHaveRun(t, p)
+	}
+	if how != Done {
+		t.fruitless++
+	}
+	if closed {
+		s.end(t)
+	}
+	if t.over {
+		if t.out == 0 {
+			delete(s.txns, ref)
+		}
+	} else if t.out == 0 {
+		s.held = append(s.held, t)
+	}
+}
+
+func (s *Scheduler) mayHaveRun(t *txn, p *posting) {
+	if !t.ran || p.at < t.groupAt {
+		t.groupW, t.groupAt = p.w, p.at
+	}
+	t.ran = true
+}
+
+func (s *Scheduler) report(w *worker, load Load) {
+	if load.Free >= 0 {
+		w.free, w.ownThen = load.Free, len(w.own)
+	}
+}
+
+// Probed tells what came of a probe.
+func (s *Scheduler) Probed(now float64, id string, how Outcome, load Load) {
+	if w := s.byID[id]; w != nil {
+		s.report(w, load)
+	}
+}
+
+// Gone tells that a client has left, or that its txn is over.
+func (s *Scheduler) Gone(now float64, ref string) {
+	if t := s.txns[ref]; t != nil {
+		s.end(t)
+	}
+}
+
+func (s *Scheduler) end(t *txn) {
+	if t.over {
+		return
+	}
+	t.over = true
+	s.held = slices.DeleteFunc(s.held, func(h *txn) bool { return h == t })
+	if t.out > 0 {
+		s.over = append(s.over, t)
+	} else {
+		delete(s.txns, t.Ref)
+	}
+}
+
+// ---- the ordinary path: ADUS ----
+
+// load is what the ranking sorts by: reported free slots, put right by own postings since, else own postings.
+func (w *worker) load() float64 {
+	if w.free >= 0 {
+		return -(w.free + float64(w.ownThen-len(w.own)))
+	}
+	return float64(len(w.own))
+}
+
+func (s *Scheduler) rerank(now float64) {
+	s.ranked = s.ranked[:0]
+	for _, w := range s.list {
+		if w.State == Running {
+			w.tie = s.chance()
+			s.ranked = append(s.ranked, w)
+		}
+	}
+	slices.SortStableFunc(s.ranked, func(a, b *worker) int {
+		if la, lb := a.load(), b.load(); la != lb {
+			if la < lb {
+				return -1
+			}
+			return 1
+		}
+		return int(int64(a.tie) - int64(b.tie))
+	})
+	s.edges = map[int][]float64{}
+	s.since, s.stale, s.rankAt = 0, false, now
+}
+
+// bounds cuts the histogram into n bands of equal work.
+func (s *Scheduler) bounds(n int) []float64 {
+	if e, ok := s.edges[n]; ok {
+		return e
+	}
+	all := 0.0
+	for b, k := range s.bins {
+		all += float64(k) * binCost(b)
+	}
+	var e []float64
+	sum := 0.0
+	for b, k := range s.bins {
+		work := float64(k) * binCost(b)
+		for len(e) < n-1 && work > 0 && sum+work >= all*float64(len(e)+1)/float64(n) {
+			// Within a bin the cut lies where the share is reached, or all jobs of one cost go to one band.
+			part := (all*float64(len(e)+1)/float64(n) - sum) / work
+			e = append(e, binCost(b)*math.Exp2((part-0.5)/binsPerDouble))
+		}
+		sum += work
+	}
+	s.edges[n] = e
+	return e
+}
+
+// pick finds the worker for a txn: that of its band's rank, else the next rank with room.
+func (s *Scheduler) pick(now float64, t *txn) *worker {
+	kind := s.terms.Schemes[t.Scheme].Kind
+	ranks := s.ranked
+	if kind >= 0 {
+		ranks = nil
+		for _, w := range s.ranked {
+			if w.Kind == kind {
+				ranks = append(ranks, w)
+			}
+		}
+	}
+	if len(s.costs) < costsNeeded {
+		var best *worker
+		for _, w := range ranks {
+			if s.fits(now, t, w) && (best == nil || len(w.own) < len(best.own)) {
+				best = w
+			}
+		}
+		return best
+	}
+	band, _ := slices.BinarySearch(s.bounds(len(ranks)), t.cost)
+	for i := range ranks {
+		if w := ranks[(band+i)%len(ranks)]; s.fits(now, t, w) {
+			return w
+		}
+	}
+	return nil
+}
+
+// ---- the exceptions ----
+
+func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
+	return w.State == Running && w.here && s.mayGo(now, t, w) && s.room(now, w) && now >= w.aside &&
+		s.warm(now, t, w)
+}
+
+// mayGo keeps rule 2.
+func (s *Scheduler) mayGo(now float64, t *txn, w *worker) bool {
+	row := &s.terms.Schemes[t.Scheme]
+	if !t.ran && t.out == 0 || row.Effect == Repeatable {
+		return true
+	}
+	if row.Effect == OnceOnly || now-t.groupAt >= row.Window {
+		return false
+	}
+	switch row.Group {
+	case GroupZone:
+		return w.Zone == t.groupW.Zone
+	case GroupCell:
+		return w.Cell == t.groupW.Cell
+	}
+	return true
+}
+
+func (s *Scheduler) prompt(w *worker) float64 {
+	return 4*w.delay.at(0, 20) + 4*s.terms.Tick
+}
+
+// room tells whether a worker is believed to have a free slot. Where starts are told, a posting that has not
+// started promptly shows that it has none.
+func (s *Scheduler) room(now float64, w *worker) bool {
+	if s.terms.TellsStart {
+		for _, p := range w.own {
+			if !p.begun {
+				return false
+			}
+		}
+	}
+	return len(w.own) < w.fullOwn || now >= w.fullAt+s.fullFor(w)
+}
+
+// fullFor is how long a worker that showed itself full is believed to stay so while no own posting there ends:
+// the time in which one of the others' is likely to.
+func (s *Scheduler) fullFor(w *worker) float64 {
+	others := float64(w.most - w.fullOwn)
+	if s.terms.Peers <= 1 {
+		others = 0
+	}
+	return s.runs.at(0.5, 100) / max(others, 0.25)
+}
+
+// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, and half
+// of the budget of the window at the most, since a window may meet two turns.
+func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
+	age := now - w.Start
+	if w.Start <= 0 || age >= s.terms.ColdFor {
+		return true
+	}
+	peers := max(s.terms.Peers, 1)
+	if peers > 1 && int(age/s.terms.Fall)%peers != s.terms.Me%peers {
+		return false
+	}
+	slots := 1
+	for _, o := range s.list {
+		if o.Kind == w.Kind && o.Weight <= w.Weight*1.01 {
+			slots = max(slots, o.most)
+		}
+	}
+	from := max(age-s.terms.Fall, 0)
+	share := s.terms.ColdFrom + (1-s.terms.ColdFrom)*from/s.terms.ColdFor
+	budget := s.terms.FallTimes * share * s.terms.Fall * float64(slots) * 0.5
+	if peers > 1 {
+		budget /= 2
+	}
+	for _, x := range w.sent {
+		if now-x.at <= s.terms.Fall {
+			budget -= x.work
+		}
+	}
+	return t.cost <= budget
+}
+
+// order tells which held txn goes first: the most gain for the work, the sooner due the more of it.
+func (s *Scheduler) order(now float64, t *txn) float64 {
+	row := &s.terms.Schemes[t.Scheme]
+	gain, slack := row.Gain, t.due-now-t.run()
+	if slack < 0 {
+		gain, slack = gain*row.LateGain, t.until-now
+	}
+	if t.surplus {
+		gain *= s.terms.OverGain
+	}
+	return gain / (s.runs.at(0.5, 100) + max(slack, 0))
+}
+
+// NextPosting decides the next posting to make.
+func (s *Scheduler) NextPosting(now float64) (Post, bool) {
+	if len(s.held) == 0 {
+		return Post{}, false
+	}
+	if s.stale || s.since >= max(len(s.ranked), 1) || now >= s.rankAt+rankEvery {
+		s.rerank(now)
+	}
+	room := false
+	for _, w := range s.ranked {
+		room = room || now >= w.aside && s.room(now, w)
+	}
+	if !room {
+		return Post{}, false
+	}
+	var best *txn
+	var to *worker
+	most := 0.0
+	for _, t := range s.held {
+		if len(t.posts) >= s.terms.MaxPosts {
+			continue
+		}
+		if o := s.order(now, t); best == nil || o > most {
+			if w := s.pick(now, t); w != nil {
+				best, to, most = t, w, o
+			}
+		}
+	}
+	if best == nil {
+		return Post{}, false
+	}
+	p := &posting{t: best, w: to, no: len(best.posts), at: now}
+	best.posts = append(best.posts, p)
+	best.out++
+	to.own = append(to.own, p)
+	if age := now - to.Start; to.Start > 0 && age < s.terms.ColdFor {
+		to.sent = append(to.sent, sending{now, best.cost})
+		if now-to.sent[0].at > s.terms.Fall {
+			to.sent = to.sent[1:]
+		}
+	}
+	s.held = slices.DeleteFunc(s.held, func(h *txn) bool { return h == best })
+	return Post{Ref: best.Ref, Worker: to.ID}, true
+}
+
+// NextFinal decides the next final answer.
+func (s *Scheduler) NextFinal(now float64) (Final, bool) {
+	for _, t := range s.held {
+		if now < s.decideAt(t) {
+			continue
+		}
+		f := Final{Ref: t.Ref, Declined: s.mayDecline(t)}
+		if f.Declined {
+			f.Stay = s.terms.MaxStay
+		}
+		s.end(t)
+		return f, true
+	}
+	return Final{}, false
+}
+
+// mayDecline keeps rule 2: a decline says that trying again is harmless.
+func (s *Scheduler) mayDecline(t *txn) bool {
+	row := &s.terms.Schemes[t.Scheme]
+	return !t.ran && t.out == 0 || row.Effect == Repeatable || row.Effect == Referenced && row.Group == GroupAll
+}
+
+// decideAt is when a held txn is given up: at once where nothing more can be done for it, else when an answer can
+// no longer earn enough.
+func (s *Scheduler) decideAt(t *txn) float64 {
+	row := &s.terms.Schemes[t.Scheme]
+	if len(t.posts) >= s.terms.MaxPosts || t.ran && row.Effect == OnceOnly {
+		return 0
+	}
+	last := t.until - 2*s.terms.Tick
+	if t.ran && row.Effect == Referenced {
+		last = min(last, t.groupAt+row.Window)
+	}
+	slack := t.due - t.run()
+	if row.LateGain == 0 {
+		return min(last, slack)
+	}
+	return min(last, slack+(t.until-slack)/4)
+}
+
+// NextCancel decides the next posting to call off.
+func (s *Scheduler) NextCancel(now float64) (Cancel, bool) {
+	for len(s.over) > 0 {
+		t := s.over[0]
+		if s.terms.Cancels {
+			for _, p := range t.posts {
+				if !p.done && !p.off {
+					p.off = true
+					return Cancel{t.Ref, p.no}, true
+				}
+			}
+		}
+		s.over = s.over[1:]
+	}
+	return Cancel{}, false
+}
+
+// NextWatch decides whether to ask for the list's changes now.
+func (s *Scheduler) NextWatch(now float64) bool {
+	if !s.terms.MustAsk || s.watching || now < s.watchAt {
+		return false
+	}
+	s.watchAt = now + s.terms.AskIn
+	return true
+}
+
+// Wake is when to pull again if nothing happens before.
+func (s *Scheduler) Wake(now float64) float64 {
+	at := math.Inf(1)
+	if s.terms.MustAsk && !s.watching {
+		at = s.watchAt
+	}
+	if len(s.held) == 0 {
+		return at
+	}
+	for _, t := range s.held {
+		at = min(at, s.decideAt(t))
+	}
+	for _, w := range s.list {
+		for _, x := range []float64{w.fullAt + s.fullFor(w), w.aside} {
+			if x > now {
+				at = min(at, x)
+			}
+		}
+		if w.Start > 0 && now-w.Start < s.terms.ColdFor {
+			at = min(at, now+s.terms.Fall/4)
+		}
+	}
+	return max(at, now+s.terms.Tick)
+}
