--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,6 +13,7 @@
 //  6. Following the list: watched where it must be asked for, and watched again when the watch breaks.
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"math"
@@ -25,6 +26,7 @@
 	costsKept     = 500 // long enough that the few heavy costs do not move the edges at each one
 	costsNeeded   = 30  // fewer say little of where the work lies
 	rankEvery     = 1000.0
+	homes         = 2 // see pickHome
 	samplesKept   = 9 // an odd few: the median stands against the odd heavy one
 )
 
@@ -51,21 +53,19 @@
 
 type worker struct {
 	Listed
-	here     bool // named in the list this scheduler has
-	own      []*posting
-	most     int // most own postings seen running here together
-	delay    samples
-	pace     samples // running time over hinted work
-	free     float64 // as last reported; below 0: not reported
-	ownThen  int     // own postings when that report came
-	fullAt   float64 // when it last showed itself full, and with how many own postings
-	fullOwn  int
-	fails    int // in a row
-	aside    float64
-	sent     []sending // to a worker still cold
-	coldFrom float64
-	rank     int
-	tie      uint32
+	here    bool // named in the list this scheduler has
+	own     []*posting
+	most    int // most own postings seen running here together
+	delay   samples
+	free    float64 // as last reported; below 0: not reported
+	ownThen int     // own postings when that report came
+	fullAt  float64 // when it last showed itself full, and with how many own postings
+	fullOwn int
+	fails   int // in a row
+	aside   float64
+	sent    []sending // to a worker still cold
+	tie     uint32
+	hash    uint32
 }
 
 type sending struct{ at, work float64 }
@@ -90,6 +90,7 @@
 	groupW           *worker
 	groupAt          float64
 	surplus          bool
+	hash             uint32 // of its key
 }
 
 type tenant struct{ came []float64 }
@@ -110,8 +111,10 @@
 	bins     [numBins]int
 	since    int // completions since the last ranking
 	rankAt   float64
-	stale    bool // the list changed since the last ranking
-	runs     samples
+	stale    bool    // the list changed since the last ranking
+	runs     samples // running times
+	pace     samples // running time over hinted work, all workers
+	tightest float64 // SLA time of any scheme
 	longest  []float64
 	tenants  []tenant
 	watching bool
@@ -121,8 +124,12 @@
 
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
-	return &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{},
+	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{}, tightest: math.Inf(1),
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
+	for _, row := range terms.Schemes {
+		s.tightest = min(s.tightest, row.SLA)
+	}
+	return s
 }
 
 func (s *Scheduler) chance() uint32 {
@@ -152,7 +159,7 @@
 			// What was learned of the process before its restart says nothing of this one.
 			*w = worker{own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), most: w.most}
 		}
-		w.Listed = r
+		w.Listed, w.hash = r, crc32.ChecksumIEEE([]byte(r.ID))
 		w.here = r.State != Removed
 		if w.here && !slices.Contains(s.list, w) {
 			s.list = append(s.list, w)
@@ -182,7 +189,7 @@
 // Arrived takes a new txn, which is now owed one final answer.
 func (s *Scheduler) Arrived(now float64, x Txn) {
 	row := &s.terms.Schemes[x.Scheme]
-	t := &txn{Txn: x, came: now, until: now + x.Left}
+	t := &txn{Txn: x, came: now, until: now + x.Left, hash: crc32.ChecksumIEEE([]byte(x.Key))}
 	if x.Hint > 0 {
 		t.cost = x.Hint * max(x.Slots, 1)
 		s.keepCost(t.cost)
@@ -285,8 +292,8 @@
 		s.since++
 		w.fails, w.aside = 0, 0
 		if p.begun && t.Hint > 0 {
-			w.pace.add((now - p.start) / t.run())
 			s.runs.add(now - p.start)
+			s.pace.add((now - p.start) / t.run())
 		}
 	case Full:
 		w.fullAt, w.fullOwn = now, len(w.own)
@@ -409,9 +416,8 @@
 
 // pick finds the worker for a txn: that of its band's rank, else the next rank with room.
 func (s *Scheduler) pick(now float64, t *txn) *worker {
-	kind := s.terms.Schemes[t.Scheme].Kind
 	ranks := s.ranked
-	if kind >= 0 {
+	if kind := s.terms.Schemes[t.Scheme].Kind; kind >= 0 {
 		ranks = nil
 		for _, w := range s.ranked {
 			if w.Kind == kind {
@@ -419,6 +425,9 @@
 			}
 		}
 	}
+	if t.Key != "" {
+		return s.pickHome(now, t, ranks)
+	}
 	if len(s.costs) < costsNeeded {
 		var best *worker
 		for _, w := range ranks {
@@ -439,6 +448,41 @@
 
 // ---- the exceptions ----
 
+// mixed spreads two checksums: the checksum of both texts in one would rank all workers alike for most keys.
+func mixed(a, b uint32) uint32 {
+	x := (uint64(a)<<32 | uint64(b)) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>32) * 0xd6e8feb86659fd93
+	return uint32(x >> 32)
+}
+
+// pickHome bands a txn that needs a key among its homes, as one bound to a kind is banded among that kind: a
+// worker that lacks the key holds a slot idle while it fetches, and any that serves it drops another key. All
+// schedulers name the same homes, by hash; where none has room, the next by hash soon keeps the key too.
+func (s *Scheduler) pickHome(now float64, t *txn, ranks []*worker) *worker {
+	if len(ranks) == 0 {
+		return nil
+	}
+	order := slices.Clone(ranks)
+	for _, w := range order {
+		w.tie = mixed(w.hash, t.hash)
+	}
+	slices.SortFunc(order, func(a, b *worker) int { return cmp.Compare(a.tie, b.tie) })
+	n := min(homes, len(order))
+	at := func(w *worker) int { return slices.Index(ranks, w) }
+	slices.SortFunc(order[:n], func(a, b *worker) int { return at(a) - at(b) })
+	band, _ := slices.BinarySearch(s.bounds(n), t.cost)
+	for i := range order {
+		w := order[i]
+		if i < n {
+			w = order[(band+i)%n]
+		}
+		if s.fits(now, t, w) {
+			return w
+		}
+	}
+	return nil
+}
+
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
 	return w.State == Running && w.here && s.mayGo(now, t, w) && s.room(now, w) && now >= w.aside &&
 		s.warm(now, t, w)
@@ -520,17 +564,37 @@
 	return t.cost <= budget
 }
 
-// order tells which held txn goes first: the most gain for the work, the sooner due the more of it.
-func (s *Scheduler) order(now float64, t *txn) float64 {
-	row := &s.terms.Schemes[t.Scheme]
-	gain, slack := row.Gain, t.due-now-t.run()
-	if slack < 0 {
-		gain, slack = gain*row.LateGain, t.until-now
+// spare is how long a txn can still wait and be in time, going by how long hinted work has taken lately.
+func (s *Scheduler) spare(now float64, t *txn) float64 {
+	return t.due - now - t.run()*s.pace.at(0.5, 1)
+}
+
+// crowded tells overload: the oldest held txn has waited beyond the tightest SLA time.
+func (s *Scheduler) crowded(now float64) bool {
+	for _, t := range s.held {
+		if now-t.came > s.tightest {
+			return true
+		}
+		return false
 	}
+	return false
+}
+
+// order tells which held txn goes first: the sooner due, unless it is crowded, when going by due times makes
+// every txn a late one: then the most gain that is still likely to be had.
+func (s *Scheduler) order(now float64, t *txn, crowded bool) float64 {
+	row := &s.terms.Schemes[t.Scheme]
+	gain, spare := row.Gain, s.spare(now, t)
 	if t.surplus {
 		gain *= s.terms.OverGain
 	}
-	return gain / (s.runs.at(0.5, 100) + max(slack, 0))
+	if spare < 0 {
+		return gain * row.LateGain / (1 + s.terms.Schemes[t.Scheme].Expiry)
+	}
+	if crowded {
+		return gain * min(spare/(t.run()/2), 1)
+	}
+	return gain / (s.runs.at(0.5, 100) + spare)
 }
 
 // NextPosting decides the next posting to make.
@@ -550,12 +614,12 @@
 	}
 	var best *txn
 	var to *worker
-	most := 0.0
+	most, crowded := 0.0, s.crowded(now)
 	for _, t := range s.held {
 		if len(t.posts) >= s.terms.MaxPosts {
 			continue
 		}
-		if o := s.order(now, t); best == nil || o > most {
+		if o := s.order(now, t, crowded); best == nil || o > most {
 			if w := s.pick(now, t); w != nil {
 				best, to, most = t, w, o
 			}
@@ -580,8 +644,9 @@
 
 // NextFinal decides the next final answer.
 func (s *Scheduler) NextFinal(now float64) (Final, bool) {
+	crowded := s.crowded(now)
 	for _, t := range s.held {
-		if now < s.decideAt(t) {
+		if now < s.decideAt(t, crowded) {
 			continue
 		}
 		f := Final{Ref: t.Ref, Declined: s.mayDecline(t)}
@@ -602,7 +667,7 @@
 
 // decideAt is when a held txn is given up: at once where nothing more can be done for it, else when an answer can
 // no longer earn enough.
-func (s *Scheduler) decideAt(t *txn) float64 {
+func (s *Scheduler) decideAt(t *txn, crowded bool) float64 {
 	row := &s.terms.Schemes[t.Scheme]
 	if len(t.posts) >= s.terms.MaxPosts || t.ran && row.Effect == OnceOnly {
 		return 0
@@ -611,11 +676,11 @@
 	if t.ran && row.Effect == Referenced {
 		last = min(last, t.groupAt+row.Window)
 	}
-	slack := t.due - t.run()
-	if row.LateGain == 0 {
-		return min(last, slack)
+	late := t.due - t.run()*s.pace.at(0.5, 1)
+	if row.LateGain == 0 || crowded {
+		return min(last, late)
 	}
-	return min(last, slack+(t.until-slack)/4)
+	return min(last, late+(t.until-late)/4)
 }
 
 // NextCancel decides the next posting to call off.
@@ -653,8 +718,9 @@
 	if len(s.held) == 0 {
 		return at
 	}
+	crowded := s.crowded(now)
 	for _, t := range s.held {
-		at = min(at, s.decideAt(t))
+		at = min(at, s.decideAt(t, crowded))
 	}
 	for _, w := range s.list {
 		for _, x := range []float64{w.fullAt + s.fullFor(w), w.aside} {
