--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,7 +2,7 @@
 
 // One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Ended, Started,
 // ListChanged, ListFailed, Probed, Gone: they only update what is known), then pulls decisions,
-// one a call, until none is left (NextFinal, NextCancel, NextPosting, NextWatch), and calls again at
+// one a call, until none is left (NextFinal, NextCancel, NextPosting, NextMessage, NextWatch), and calls again at
 // Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, bounds, pick.
 // Beside it stand six mechanisms:
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
@@ -26,8 +26,10 @@
 	costsKept     = 500 // long enough that the few heavy costs do not move the edges at each one
 	costsNeeded   = 30  // fewer say little of where the work lies
 	rankEvery     = 1000.0
-	homes         = 2 // see pickHome
-	samplesKept   = 9 // an odd few: the median stands against the odd heavy one
+	homes         = 2     // see pickHome
+	tellEvery     = 100.0 // a few messages a job at the most; a job runs far longer
+	mostBytes     = 255   // of a message, a whole number of entries
+	samplesKept   = 9     // an odd few: the median stands against the odd heavy one
 )
 
 // samples holds the last few measurements; figures are worked out from them when asked for.
@@ -53,19 +55,20 @@
 
 type worker struct {
 	Listed
-	here    bool // named in the list this scheduler has
-	own     []*posting
-	most    int // most own postings seen running here together
-	delay   samples
-	free    float64 // as last reported; below 0: not reported
-	ownThen int     // own postings when that report came
-	fullAt  float64 // when it last showed itself full, and with how many own postings
-	fullOwn int
-	fails   int // in a row
-	aside   float64
-	sent    []sending // to a worker still cold
-	tie     uint32
-	hash    uint32
+	here     bool // named in the list this scheduler has
+	own      []*posting
+	most     int // most own postings seen running here together
+	delay    samples
+	free     float64     // as last reported; below 0: not reported
+	ownThen  int         // own postings when that report came
+	peers    map[int]int // postings that each peer last said it has there
+	fullAt   float64     // when it last showed itself full, and with how many postings known of
+	fullWith int
+	fails    int // in a row
+	aside    float64
+	sent     []sending // to a worker still cold
+	tie      uint32
+	hash     uint32
 }
 
 type sending struct{ at, work float64 }
@@ -117,6 +120,9 @@
 	tightest float64 // SLA time of any scheme
 	longest  []float64
 	tenants  []tenant
+	moves    int // postings made or ended so far
+	told     int // moves when peers were last told
+	toldAt   float64
 	watching bool
 	watchAt  float64
 	watchBad int
@@ -272,7 +278,7 @@
 	p.w.fails, p.w.aside = 0, 0
 	if waited {
 		// The slot that came free went to this one, so it is as full as before.
-		p.w.fullAt, p.w.fullOwn = now, len(p.w.own)
+		p.w.fullAt, p.w.fullWith = now, p.w.known()
 	}
 }
 
@@ -284,6 +290,7 @@
 	}
 	t, w := p.t, p.w
 	p.done = true
+	s.moves++
 	w.own = slices.DeleteFunc(w.own, func(q *posting) bool { return q == p })
 	t.out--
 	s.report(w, load)
@@ -296,7 +303,7 @@
 			s.pace.add((now - p.start) / t.run())
 		}
 	case Full:
-		w.fullAt, w.fullOwn = now, len(w.own)
+		w.fullAt, w.fullWith = now, w.known()
 	case NoConnect, Reset:
 		w.fails++
 		w.aside = now + 500*math.Exp2(float64(min(w.fails-1, 4)))
@@ -339,6 +346,29 @@
 	}
 }
 
+// Heard takes a peer's message: its postings in flight by worker.
+func (s *Scheduler) Heard(now float64, from int, body []byte) {
+	said := map[uint16]int{}
+	for ; len(body) >= 3; body = body[3:] {
+		said[binary.BigEndian.Uint16(body)] = int(body[2])
+	}
+	for _, w := range s.list {
+		if w.peers == nil {
+			w.peers = map[int]int{}
+		}
+		w.peers[from] = said[uint16(w.hash)]
+	}
+}
+
+// known counts the postings in flight at a worker, own ones and those that peers have told of.
+func (w *worker) known() int {
+	n := len(w.own)
+	for _, k := range w.peers {
+		n += k
+	}
+	return n
+}
+
 // Gone tells that a client has left, or that its txn is over.
 func (s *Scheduler) Gone(now float64, ref string) {
 	if t := s.txns[ref]; t != nil {
@@ -366,7 +396,7 @@
 	if w.free >= 0 {
 		return -(w.free + float64(w.ownThen-len(w.own)))
 	}
-	return float64(len(w.own))
+	return float64(w.known())
 }
 
 func (s *Scheduler) rerank(now float64) {
@@ -520,13 +550,13 @@
 			}
 		}
 	}
-	return len(w.own) < w.fullOwn || now >= w.fullAt+s.fullFor(w)
+	return w.known() < w.fullWith || now >= w.fullAt+s.fullFor(w)
 }
 
 // fullFor is how long a worker that showed itself full is believed to stay so while no own posting there ends:
 // the time in which one of the others' is likely to.
 func (s *Scheduler) fullFor(w *worker) float64 {
-	others := float64(w.most - w.fullOwn)
+	others := float64(w.most - w.fullWith)
 	if s.terms.Peers <= 1 {
 		others = 0
 	}
@@ -631,6 +661,7 @@
 	p := &posting{t: best, w: to, no: len(best.posts), at: now}
 	best.posts = append(best.posts, p)
 	best.out++
+	s.moves++
 	to.own = append(to.own, p)
 	if age := now - to.Start; to.Start > 0 && age < s.terms.ColdFor {
 		to.sent = append(to.sent, sending{now, best.cost})
@@ -700,6 +731,32 @@
 	return Cancel{}, false
 }
 
+// NextMessage decides what to tell all peers: own postings in flight, where that has changed.
+func (s *Scheduler) NextMessage(now float64) ([]byte, bool) {
+	if now < s.tellAt() {
+		return nil, false
+	}
+	s.told, s.toldAt = s.moves, now
+	var body []byte
+	for _, w := range s.list {
+		if n := len(w.own); n > 0 && len(body)+3 <= mostBytes {
+			body = append(binary.BigEndian.AppendUint16(body, uint16(w.hash)), byte(min(n, 255)))
+		}
+	}
+	return body, true
+}
+
+// tellAt is when the next message goes out: soon after a change; else now and then, since one may be lost.
+func (s *Scheduler) tellAt() float64 {
+	if !s.terms.Messages || s.terms.Peers <= 1 {
+		return math.Inf(1)
+	}
+	if s.told != s.moves {
+		return s.toldAt + tellEvery
+	}
+	return s.toldAt + 10*tellEvery
+}
+
 // NextWatch decides whether to ask for the list's changes now.
 func (s *Scheduler) NextWatch(now float64) bool {
 	if !s.terms.MustAsk || s.watching || now < s.watchAt {
@@ -711,12 +768,12 @@
 
 // Wake is when to pull again if nothing happens before.
 func (s *Scheduler) Wake(now float64) float64 {
-	at := math.Inf(1)
+	at := s.tellAt()
 	if s.terms.MustAsk && !s.watching {
-		at = s.watchAt
+		at = min(at, s.watchAt)
 	}
 	if len(s.held) == 0 {
-		return at
+		return max(at, now+s.terms.Tick)
 	}
 	crowded := s.crowded(now)
 	for _, t := range s.held {
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -42,7 +43,8 @@
 	Outcome   int                `json:"outcome"`
 	Closed    bool               `json:"closed"`
 	Telemetry map[string]float64 `json:"telemetry"`
-	Sort      int                `json:"sort"`
+	Author    int                `json:"author"`
+	Payload   []byte             `json:"payload"`
 }
 
 type element struct {
@@ -85,6 +87,7 @@
 		Cancel bool  `json:"cancel"`
 		Stay   int64 `json:"max_retry_after"`
 		Advice bool  `json:"retry_after"`
+		Peers  bool  `json:"peers"`
 	} `json:"policy_limits"`
 	Rules struct {
 		ColdFrom  float64 `json:"cold_from"`
@@ -100,7 +103,7 @@
 
 func (f *facts) terms(seed uint64) balance.Terms {
 	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Tick: ms(f.Tick), OverGain: f.Surplus,
-		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel,
+		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
 		MustAsk: f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
 		ColdFrom: f.Rules.ColdFrom, ColdFor: ms(f.Rules.Cold), Fall: ms(f.Rules.Fall), FallTimes: f.Rules.FallTimes}
 	if t.MaxPosts <= 0 {
@@ -284,6 +287,8 @@
 		s.Ended(now, m.text(), m.Try, m.how(), m.Closed, m.load())
 	case "update_of":
 		s.Started(now, m.text(), m.Try)
+	case "datagram":
+		s.Heard(now, m.Author, m.Payload)
 	case "ping_result":
 		s.Probed(now, m.Worker, m.how(), m.load())
 	case "sync":
@@ -342,6 +347,12 @@
 				l.num("timeout", us(p.Timeout))
 			}
 			l.out.WriteByte('}')
+		} else if body, ok := s.NextMessage(now); ok {
+			more = true
+			l.act("broadcast_to", in.id)
+			l.str("recipient", "all")
+			l.str("payload", base64.StdEncoding.EncodeToString(body))
+			l.out.WriteByte('}')
 		} else if s.NextWatch(now) {
 			more = true
 			l.act("track", in.id)
