--- a/balance/balance.go
+++ b/balance/balance.go
@@ -88,12 +88,12 @@
 	posts            []*posting
 	out              int
 	over             bool // answered or gone
-	fruitless        int  // postings that ended unsettled
 	ran              bool // an ended posting may have run
 	groupW           *worker
 	groupAt          float64
 	surplus          bool
-	hash             uint32 // of its key
+	turned           *worker // the last to turn it away, passed over while there are others
+	hash             uint32  // of its key
 }
 
 type tenant struct{ came []float64 }
@@ -102,6 +102,7 @@
 type Scheduler struct {
 	terms    Terms
 	draws    uint32
+	born     float64 // when the first list came
 	txns     map[string]*txn
 	held     []*txn // open txns with no posting out, in order of arrival
 	over     []*txn // answered txns that still have postings out
@@ -130,7 +131,8 @@
 
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
-	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{}, tightest: math.Inf(1),
+	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{}, tightest: math.Inf(1), born: -1,
+		edges:   map[int][]float64{},
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
 	for _, row := range terms.Schemes {
 		s.tightest = min(s.tightest, row.SLA)
@@ -178,6 +180,9 @@
 		return !w.here
 	})
 	s.stale = true
+	if s.born < 0 {
+		s.born = now
+	}
 }
 
 // Watched tells that the list request sent before was answered, or failed.
@@ -311,8 +316,8 @@
 	if !how.NeverRan() && how != Done {
 		s.mayHaveRun(t, p)
 	}
-	if how != Done {
-		t.fruitless++
+	if how.NeverRan() && len(s.ranked) > 1 {
+		t.turned = w
 	}
 	if closed {
 		s.end(t)
@@ -514,7 +519,7 @@
 }
 
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
-	return w.State == Running && w.here && s.mayGo(now, t, w) && s.room(now, w) && now >= w.aside &&
+	return w.State == Running && w.here && w != t.turned && s.mayGo(now, t, w) && s.room(now, w) && now >= w.aside &&
 		s.warm(now, t, w)
 }
 
@@ -570,6 +575,9 @@
 	if w.Start <= 0 || age >= s.terms.ColdFor {
 		return true
 	}
+	if now < s.born+s.terms.Fall {
+		return false // what this scheduler sent before its own restart is forgotten, and still counts
+	}
 	peers := max(s.terms.Peers, 1)
 	if peers > 1 && int(age/s.terms.Fall)%peers != s.terms.Me%peers {
 		return false
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,464 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"testing/quick"
+)
+
+// Plain cases stand first, the seeded random runs last.
+
+var plainTerms = Terms{Seed: 1, Peers: 1, Tick: 2, MaxPosts: 6, Copies: true, Cancels: true, TellsStart: true,
+	ColdFrom: 0.2, ColdFor: 20000, Fall: 2000, FallTimes: 3,
+	Schemes: []SchemeRow{{SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2, Kind: -1},
+		{Effect: OnceOnly, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2, Kind: -1},
+		{Effect: Referenced, Group: GroupCell, Window: 5000, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, Kind: -1}}}
+
+func started(terms Terms, workers int) *Scheduler {
+	s := New(terms)
+	var rows []Listed
+	for i := range workers {
+		rows = append(rows, Listed{ID: fmt.Sprint("w", i), Cell: i / 2, Weight: 1})
+	}
+	s.ListChanged(0, true, rows)
+	return s
+}
+
+func arrive(s *Scheduler, now float64, ref string, scheme int, hint float64) {
+	s.Arrived(now, Txn{Ref: ref, Scheme: scheme, Hint: hint, Slots: 1, Left: 20000})
+}
+
+func mustPost(t *testing.T, s *Scheduler, now float64) Post {
+	t.Helper()
+	p, ok := s.NextPosting(now)
+	if !ok {
+		t.Fatal("no posting")
+	}
+	return p
+}
+
+// settle fills the histogram with one cost for each worker, so that every band holds one.
+func settle(t *testing.T, s *Scheduler, costs ...float64) float64 {
+	t.Helper()
+	now := 0.0
+	for i := range 20 * len(costs) {
+		now += 10
+		ref := fmt.Sprint("fill", i)
+		arrive(s, now, ref, 0, costs[i%len(costs)])
+		mustPost(t, s, now)
+		s.Started(now, ref, 0)
+		s.Ended(now+5, ref, 0, Done, true, NoLoad)
+	}
+	return now
+}
+
+func TestBandsHoldEqualWork(t *testing.T) {
+	s := started(plainTerms, 4)
+	r := rand.New(rand.NewSource(2))
+	var costs []float64
+	for i := range costsKept {
+		c := math.Exp(r.NormFloat64()) * 1000
+		costs = append(costs, c)
+		arrive(s, 0, fmt.Sprint(i), 0, c)
+	}
+	edges := append(append([]float64{0}, s.bounds(4)...), math.Inf(1))
+	all := 0.0
+	for _, c := range costs {
+		all += c
+	}
+	for i := range 4 {
+		work := 0.0
+		for _, c := range costs {
+			if c >= edges[i] && c < edges[i+1] {
+				work += c
+			}
+		}
+		if math.Abs(work/all-0.25) > 0.08 {
+			t.Errorf("band %d holds %.2f of the work", i, work/all)
+		}
+	}
+}
+
+func TestBandGoesToItsRank(t *testing.T) {
+	s := started(plainTerms, 3)
+	now := settle(t, s, 100, 1000, 10000)
+	now += 2 * rankEvery
+	s.rerank(now)
+	ranked := slices.Clone(s.ranked)
+	for i, c := range []float64{100, 1000, 10000} {
+		arrive(s, now, fmt.Sprint("x", i), 0, c)
+	}
+	for range 3 {
+		p := mustPost(t, s, now)
+		if i := int(p.Ref[1] - '0'); p.Worker != ranked[i].ID {
+			t.Errorf("band %d went to %s, its rank is %s", i, p.Worker, ranked[i].ID)
+		}
+	}
+}
+
+func TestReranksByCompletionsAndTimer(t *testing.T) {
+	s := started(plainTerms, 2)
+	now := settle(t, s, 100, 1000)
+	arrive(s, now, "a", 0, 100)
+	mustPost(t, s, now)
+	at := s.rankAt
+	now += 1
+	s.since = len(s.ranked)
+	arrive(s, now, "b", 0, 100)
+	mustPost(t, s, now)
+	if s.rankAt != now || s.since != 0 || at == now {
+		t.Error("no new ranking after its completions")
+	}
+	now += rankEvery
+	arrive(s, now, "c", 0, 100)
+	s.NextPosting(now)
+	if s.rankAt != now {
+		t.Error("no new ranking on the timer")
+	}
+}
+
+func TestNextRankAfterFullOrNoConnection(t *testing.T) {
+	for _, how := range []Outcome{Full, NoConnect} {
+		s := started(plainTerms, 3)
+		now := settle(t, s, 100, 1000, 10000)
+		arrive(s, now, "x", 1, 100)
+		first := mustPost(t, s, now).Worker
+		s.Ended(now, "x", 0, how, false, NoLoad)
+		if next := mustPost(t, s, now).Worker; next == first {
+			t.Errorf("after outcome %d it went to the same worker", how)
+		}
+	}
+}
+
+func TestUnhintedCostsTheMedian(t *testing.T) {
+	s := started(plainTerms, 3)
+	now := settle(t, s, 100, 100, 100, 10000, 10000)
+	arrive(s, now, "x", 0, -1)
+	if c := s.txns["x"].cost; c < 80 || c > 125 {
+		t.Errorf("costed %.0f", c)
+	}
+}
+
+func TestUnfilledHistogramGoesByOwnPostings(t *testing.T) {
+	s := started(plainTerms, 3)
+	used := map[string]int{}
+	for i := range 6 {
+		ref := fmt.Sprint(i)
+		arrive(s, 0, ref, 0, 100)
+		used[mustPost(t, s, 0).Worker]++
+		s.Started(0, ref, 0)
+	}
+	for id, n := range used {
+		if n != 2 {
+			t.Errorf("%s has %d of 6", id, n)
+		}
+	}
+}
+
+func TestOnceOnlyThatMayHaveRunIsReversedAtOnce(t *testing.T) {
+	s := started(plainTerms, 3)
+	arrive(s, 0, "x", 1, 100)
+	mustPost(t, s, 0)
+	s.Ended(5, "x", 0, Reset, false, NoLoad)
+	if f, ok := s.NextFinal(5); !ok || f.Declined {
+		t.Errorf("got %+v %v", f, ok)
+	}
+}
+
+// Going by due times when the queue is long serves every txn at its last moment, so all end late.
+func TestCrowdedServesWhatIsLikelyInTime(t *testing.T) {
+	s := started(plainTerms, 1)
+	arrive(s, 0, "old", 0, 1000)
+	arrive(s, 1950, "new", 0, 1000)
+	if p := mustPost(t, s, 1960); p.Ref != "new" {
+		t.Errorf("%s went first", p.Ref)
+	}
+}
+
+// A fetch holds a slot idle: all schedulers have to send a key to the same few workers.
+func TestKeyedTxnsShareHomes(t *testing.T) {
+	used := map[string]bool{}
+	for seed := range 4 {
+		terms := plainTerms
+		terms.Seed = uint64(seed)
+		s := started(terms, 8)
+		now := settle(t, s, 100, 1000, 10000)
+		for i := range 5 {
+			ref := fmt.Sprint("k", i)
+			s.Arrived(now, Txn{Ref: ref, Hint: []float64{100, 10000}[i%2], Slots: 1, Left: 20000, Key: "area"})
+			used[mustPost(t, s, now).Worker] = true
+			s.Started(now, ref, 0)
+		}
+	}
+	if len(used) > homes {
+		t.Errorf("one key went to %d workers", len(used))
+	}
+}
+
+// world plays random outcomes, late and out of step, to several schedulers, and checks the rules at each step.
+type world struct {
+	r      *rand.Rand
+	now    float64
+	terms  Terms
+	scheds []*Scheduler
+	rows   []Listed
+	seen   []map[string]Listed // what each scheduler was last told
+	txns   []map[string]*owed
+	ids    int
+	sent   map[string][]sending
+	err    error
+}
+
+type owed struct {
+	Txn
+	until float64
+	final bool
+	posts []*made
+}
+
+type made struct {
+	w               Listed
+	at              float64
+	out, ran, begun bool
+}
+
+func (w *world) fail(format string, a ...any) {
+	if w.err == nil {
+		w.err = fmt.Errorf("at %.0f: "+format, append([]any{w.now}, a...)...)
+	}
+}
+
+func (w *world) tell(i int) {
+	for _, r := range w.rows {
+		w.seen[i][r.ID] = r
+	}
+	w.scheds[i].ListChanged(w.now, true, w.rows)
+}
+
+func (w *world) start(i int) {
+	terms := w.terms
+	terms.Me, terms.Seed = i, w.r.Uint64()
+	w.scheds[i], w.txns[i], w.seen[i] = New(terms), map[string]*owed{}, map[string]Listed{}
+	w.tell(i)
+}
+
+func newWorld(seed int64) *world {
+	r := rand.New(rand.NewSource(seed))
+	n := 1 + r.Intn(3)
+	w := &world{r: r, terms: plainTerms, scheds: make([]*Scheduler, n), seen: make([]map[string]Listed, n),
+		txns: make([]map[string]*owed, n), sent: map[string][]sending{}, now: 1000}
+	w.terms.Peers, w.terms.TellsStart, w.terms.Messages = n, r.Intn(3) > 0, r.Intn(2) > 0
+	w.terms.Copies = r.Intn(2) > 0
+	w.terms.Schemes = slices.Clone(w.terms.Schemes)
+	w.terms.Schemes[2].Group = Group(r.Intn(3))
+	for i := range r.Intn(7) {
+		row := Listed{ID: fmt.Sprint("w", i), Cell: i / 2, Zone: i % 2, Weight: 1}
+		if r.Intn(3) == 0 {
+			row.Start = 500
+		}
+		w.rows = append(w.rows, row)
+	}
+	for i := range n {
+		w.start(i)
+	}
+	return w
+}
+
+func (w *world) step() {
+	w.now += w.r.Float64() * 40
+	i := w.r.Intn(len(w.scheds))
+	s := w.scheds[i]
+	switch k := w.r.Intn(100); {
+	case k < 50:
+		hint, key := math.Exp(w.r.NormFloat64())*300, ""
+		if w.r.Intn(5) == 0 {
+			hint = -1
+		}
+		if w.r.Intn(3) == 0 {
+			key = fmt.Sprint("k", w.r.Intn(5))
+		}
+		w.ids++
+		x := Txn{Ref: fmt.Sprint("t", w.ids), Scheme: w.r.Intn(3), Key: key, Hint: hint, Slots: 1,
+			Left: 500 + w.r.Float64()*6000}
+		w.txns[i][x.Ref] = &owed{Txn: x, until: w.now + x.Left}
+		s.Arrived(w.now, x)
+	case k < 53 && len(w.rows) > 0: // a worker restarts, drains, goes or comes back
+		row := &w.rows[w.r.Intn(len(w.rows))]
+		row.State = State(w.r.Intn(3))
+		if row.State == Running {
+			row.Start = w.now
+		}
+	case k < 60:
+		w.tell(i)
+	case k < 61:
+		w.start(i)
+	case k < 63:
+		s.Heard(w.now, w.r.Intn(3), []byte{1, 2, 3, 4})
+	case k < 64:
+		s.Watched(w.now, w.r.Intn(2) > 0)
+	}
+	for i := range w.scheds {
+		w.outcomes(i)
+		w.pull(i)
+	}
+}
+
+func (w *world) outcomes(i int) {
+	var refs []string
+	for ref := range w.txns[i] {
+		refs = append(refs, ref)
+	}
+	slices.Sort(refs)
+	for _, ref := range refs {
+		t := w.txns[i][ref]
+		for no, p := range t.posts {
+			if !p.out {
+				continue
+			}
+			how := Outcome(-1)
+			if w.now >= t.until {
+				how = TimedOut
+			} else if w.r.Intn(40) == 0 {
+				how = Outcome(w.r.Intn(8))
+			} else if !p.begun && w.r.Intn(3) == 0 {
+				p.begun = true
+				w.scheds[i].Started(w.now, ref, no)
+			}
+			if how < 0 {
+				continue
+			}
+			p.out, p.ran = false, !how.NeverRan()
+			if how == Done {
+				t.final = true
+			}
+			load := NoLoad
+			if w.r.Intn(2) == 0 {
+				load.Free = float64(w.r.Intn(4))
+			}
+			w.scheds[i].Ended(w.now, ref, no, how, t.final, load)
+		}
+		if !t.final && w.r.Intn(3000) == 0 {
+			t.final = true
+			w.scheds[i].Gone(w.now, ref)
+		}
+	}
+}
+
+func (w *world) pull(i int) {
+	s := w.scheds[i]
+	for {
+		if f, ok := s.NextFinal(w.now); ok {
+			w.final(i, f)
+		} else if c, ok := s.NextCancel(w.now); ok {
+			if t := w.txns[i][c.Ref]; t == nil || c.Posting >= len(t.posts) {
+				w.fail("cancel of a posting never made")
+			}
+		} else if p, ok := s.NextPosting(w.now); ok {
+			w.post(i, p)
+		} else if _, ok := s.NextMessage(w.now); !ok && !s.NextWatch(w.now) {
+			break
+		}
+		if w.err != nil {
+			return
+		}
+	}
+	if s.Wake(w.now) <= w.now {
+		w.fail("wake-up in the past")
+	}
+	for ref, t := range w.txns[i] {
+		if !t.final && w.now > t.until {
+			w.fail("rule 1: %s has no answer at its expiry", ref)
+		}
+	}
+}
+
+func (w *world) final(i int, f Final) {
+	t := w.txns[i][f.Ref]
+	if t == nil || t.final {
+		w.fail("rule 1: second answer for %s", f.Ref)
+		return
+	}
+	t.final = true
+	row := w.terms.Schemes[t.Scheme]
+	if f.Declined && row.Effect != Repeatable && !(row.Effect == Referenced && row.Group == GroupAll) {
+		for _, p := range t.posts {
+			if p.out || p.ran {
+				w.fail("rule 2: %s declined though it may have run", f.Ref)
+			}
+		}
+	}
+}
+
+func (w *world) post(i int, p Post) {
+	t, row := w.txns[i][p.Ref], w.seen[i][p.Worker]
+	if t == nil || t.final || w.now > t.until {
+		w.fail("rule 1: posting of %s after its answer", p.Ref)
+		return
+	}
+	if row.ID == "" || row.State != Running {
+		w.fail("rule 3: posting to %s, which is %d", p.Worker, row.State)
+	}
+	scheme := w.terms.Schemes[t.Scheme]
+	for _, q := range t.posts {
+		if q.out && !w.terms.Copies {
+			w.fail("rule 2: two postings of %s out", p.Ref)
+		}
+		if !q.out && !q.ran || scheme.Effect == Repeatable {
+			continue
+		}
+		same := scheme.Group == GroupAll || scheme.Group == GroupZone && q.w.Zone == row.Zone ||
+			scheme.Group == GroupCell && q.w.Cell == row.Cell
+		if scheme.Effect == OnceOnly || !same || w.now-q.at >= scheme.Window {
+			w.fail("rule 2: %s may have run and goes again", p.Ref)
+		}
+	}
+	t.posts = append(t.posts, &made{w: row, at: w.now, out: true})
+	w.budget(i, p, t, row)
+}
+
+// budget sums what all schedulers that know of the start send, over every window that ends now. A worker has
+// the slots that were seen busy together.
+func (w *world) budget(i int, p Post, t *owed, row Listed) {
+	age := w.now - row.Start
+	if row.Start <= 0 || age >= w.terms.ColdFor {
+		return
+	}
+	key := fmt.Sprint(p.Worker, row.Start)
+	slots := 1
+	for _, s := range w.scheds {
+		for _, o := range s.list {
+			slots = max(slots, o.most)
+		}
+	}
+	w.sent[key] = append(w.sent[key], sending{w.now, w.scheds[i].txns[p.Ref].cost})
+	sum := 0.0
+	for _, x := range w.sent[key] {
+		if w.now-x.at <= w.terms.Fall {
+			sum += x.work
+		}
+	}
+	from := max(age-w.terms.Fall, 0) / w.terms.ColdFor
+	if most := float64(slots) * w.terms.FallTimes * w.terms.Fall * (w.terms.ColdFrom + (1-w.terms.ColdFrom)*from); sum > most {
+		w.fail("rule 4: %.0f sent to cold %s, budget %.0f", sum, p.Worker, most)
+	}
+}
+
+func TestRulesHoldInRandomRuns(t *testing.T) {
+	run := func(seed int64) bool {
+		w := newWorld(seed)
+		for range 1200 {
+			w.step()
+			if w.err != nil {
+				t.Logf("seed %d: %v", seed, w.err)
+				return false
+			}
+		}
+		return true
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 80, Rand: rand.New(rand.NewSource(7))}); err != nil {
+		t.Error(err)
+	}
+}
