--- a/balance/balance.go
+++ b/balance/balance.go
@@ -640,7 +640,7 @@
 	if len(s.held) == 0 {
 		return Post{}, false
 	}
-	if s.stale || s.since >= max(len(s.ranked), 1) || now >= s.rankAt+rankEvery {
+	if s.stale || s.since >= 3 || now >= s.rankAt+rankEvery {
 		s.rerank(now)
 	}
 	room := false
