Room: a rank where this scheduler holds its even part of the slots comes after the others

Cause: where peers tell nothing, the slots beyond one's own part are likely theirs, and a posting waits there behind a long job.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -473,12 +473,18 @@
 		return best
 	}
 	band, _ := slices.BinarySearch(s.bounds(len(ranks)), t.cost)
+	var second *worker
 	for i := range ranks {
 		if w := ranks[(band+i)%len(ranks)]; s.fits(now, t, w) {
-			return w
+			if s.sure(w) {
+				return w
+			}
+			if second == nil {
+				second = w
+			}
 		}
 	}
-	return nil
+	return second
 }
 
 // ---- the exceptions ----
@@ -558,6 +564,16 @@
 	return w.known() < w.fullWith || now >= w.fullAt+s.fullFor(w)
 }
 
+// sure tells whether this scheduler holds less than its even part of the slots there: where the others hold as
+// much and tell nothing of it, room beyond that part is only a guess.
+func (s *Scheduler) sure(w *worker) bool {
+	part := w.most
+	if !s.terms.Messages {
+		part /= max(s.terms.Peers, 1)
+	}
+	return w.known() < max(part, 1)
+}
+
 // fullFor is how long a worker that showed itself full is believed to stay so while no own posting there ends:
 // the time in which one of the others' is likely to.
 func (s *Scheduler) fullFor(w *worker) float64 {
