A keyed txn waits for a home before it goes elsewhere, for half the time it can spare

Cause: the moment a home had no room its txns went to workers without the key; each then fetched it, held a slot meanwhile and dropped another key, so that capacity fell as load rose.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -516,6 +516,8 @@
 		w := order[i]
 		if i < n {
 			w = order[(band+i)%n]
+		} else if spare := s.spare(now, t); spare > (spare+now-t.came)/2 {
+			return nil
 		}
 		if s.fits(now, t, w) {
 			return w
