--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,6 +25,7 @@
 	numBins       = 160 // spans 40 doublings, more than any two jobs differ by
 	costsKept     = 500 // long enough that the few heavy costs do not move the edges at each one
 	costsNeeded   = 30  // fewer say little of where the work lies
+	rankAfter     = 3   // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0
 	homes         = 2     // see pickHome
 	tellEvery     = 100.0 // a few messages a job at the most; a job runs far longer
@@ -516,7 +517,7 @@
 		w := order[i]
 		if i < n {
 			w = order[(band+i)%n]
-		} else if spare := s.spare(now, t); spare > (spare+now-t.came)/2 {
+		} else if spare := s.spare(now, t); spare > (spare+now-t.came)/8 {
 			return nil
 		}
 		if s.fits(now, t, w) {
@@ -658,7 +659,7 @@
 	if len(s.held) == 0 {
 		return Post{}, false
 	}
-	if s.stale || s.since >= 3 || now >= s.rankAt+rankEvery {
+	if s.stale || s.since >= rankAfter || now >= s.rankAt+rankEvery {
 		s.rerank(now)
 	}
 	room := false
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -106,7 +106,7 @@
 	mustPost(t, s, now)
 	at := s.rankAt
 	now += 1
-	s.since = len(s.ranked)
+	s.since = rankAfter
 	arrive(s, now, "b", 0, 100)
 	mustPost(t, s, now)
 	if s.rankAt != now || s.since != 0 || at == now {
