--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,7 @@
 	costsNeeded   = 30  // fewer say little of where the work lies
 	rankAfter     = 3   // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0
-	homes         = 2     // see pickHome
+	homes         = 3     // see pickHome
 	tellEvery     = 100.0 // a few messages a job at the most; a job runs far longer
 	mostBytes     = 255   // of a message, a whole number of entries
 	samplesKept   = 9     // an odd few: the median stands against the odd heavy one
