--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,6 +60,7 @@
 	own      []*posting
 	most     int // most own postings seen running here together
 	delay    samples
+	bears    samples     // how many would have run here at the pace of their hints
 	free     float64     // as last reported; below 0: not reported
 	ownThen  int         // own postings when that report came
 	peers    map[int]int // postings that each peer last said it has there
@@ -306,7 +307,9 @@
 		w.fails, w.aside = 0, 0
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
-			s.pace.add((now - p.start) / t.run())
+			pace := max(now-p.start, 1) / t.run()
+			s.pace.add(pace)
+			w.bears.add(float64(w.known()+1) / pace)
 		}
 	case Full:
 		w.fullAt, w.fullWith = now, w.known()
@@ -557,6 +560,9 @@
 // room tells whether a worker is believed to have a free slot. Where starts are told, a posting that has not
 // started promptly shows that it has none.
 func (s *Scheduler) room(now float64, w *worker) bool {
+	if w.known() >= s.limit(w) {
+		return false
+	}
 	if s.terms.TellsStart {
 		for _, p := range w.own {
 			if !p.begun {
@@ -577,6 +583,12 @@
 	return w.known() < max(part, 1)
 }
 
+// limit is how many a worker is given at once, one above what ran there lately at the pace of the hints: with more
+// slots than cores, or a neighbour on them, the free ones only make all that runs there late.
+func (s *Scheduler) limit(w *worker) int {
+	return 1 + int(math.Ceil(w.bears.at(0.5, math.MaxInt32)))
+}
+
 // fullFor is how long a worker that showed itself full is believed to stay so while no own posting there ends:
 // the time in which one of the others' is likely to.
 func (s *Scheduler) fullFor(w *worker) float64 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -198,6 +198,26 @@
 	}
 }
 
+// A worker with more slots than cores, or with a neighbour on them, starts all it is sent and ends it late.
+func TestSlowWorkerIsGivenLess(t *testing.T) {
+	s := started(plainTerms, 1)
+	now := 0.0
+	for i := range 40 { // two at a time, each at four times its hint
+		ref := fmt.Sprint(i)
+		arrive(s, now, ref, 0, 100)
+		if p, ok := s.NextPosting(now); ok {
+			s.Started(now, p.Ref, 0)
+		}
+		now += 200
+		if old := fmt.Sprint(i - 1); i > 0 {
+			s.Ended(now, old, 0, Done, true, NoLoad)
+		}
+	}
+	if l := s.limit(s.list[0]); l > 2 {
+		t.Errorf("it is given %d at once", l)
+	}
+}
+
 // world plays random outcomes, late and out of step, to several schedulers, and checks the rules at each step.
 type world struct {
 	r      *rand.Rand
