--- a/balance/balance.go
+++ b/balance/balance.go
@@ -119,7 +119,6 @@
 	rankAt   float64
 	stale    bool    // the list changed since the last ranking
 	runs     samples // running times
-	pace     samples // running time over hinted work, all workers
 	tightest float64 // SLA time of any scheme
 	longest  []float64
 	tenants  []tenant
@@ -307,9 +306,7 @@
 		w.fails, w.aside = 0, 0
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
-			pace := max(now-p.start, 1) / t.run()
-			s.pace.add(pace)
-			w.bears.add(float64(w.known()+1) / pace)
+			w.bears.add(float64(w.known()+1) * t.run() / max(now-p.start, 1))
 		}
 	case Full:
 		w.fullAt, w.fullWith = now, w.known()
@@ -633,9 +630,10 @@
 	return t.cost <= budget
 }
 
-// spare is how long a txn can still wait and be in time, going by how long hinted work has taken lately.
+// spare is how long a txn can still wait and be in time, going by its hint. How long hinted work took lately does not
+// come in: with rough hints that says as much of the hints as of the workers.
 func (s *Scheduler) spare(now float64, t *txn) float64 {
-	return t.due - now - t.run()*s.pace.at(0.5, 1)
+	return t.due - now - t.run()
 }
 
 // crowded tells overload: the oldest held txn has waited beyond the tightest SLA time.
@@ -746,7 +744,7 @@
 	if t.ran && row.Effect == Referenced {
 		last = min(last, t.groupAt+row.Window)
 	}
-	late := t.due - t.run()*s.pace.at(0.5, 1)
+	late := t.due - t.run()
 	if row.LateGain == 0 || crowded {
 		return min(last, late)
 	}
