--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,27 +35,32 @@
 
 // samples holds the last few measurements; figures are worked out from them when asked for.
 type samples struct {
-	v    [samplesKept]float64
-	n, i int
+	v, sorted [samplesKept]float64
+	n, i      int
+	fresh     bool
 }
 
 func (m *samples) add(x float64) {
 	m.v[m.i] = x
 	m.i = (m.i + 1) % samplesKept
 	m.n = min(m.n+1, samplesKept)
+	m.fresh = true
 }
 
 func (m *samples) at(q, none float64) float64 {
 	if m.n == 0 {
 		return none
 	}
-	s := m.v
-	slices.Sort(s[:m.n])
-	return s[int(q*float64(m.n-1)+0.5)]
+	if m.fresh {
+		m.sorted, m.fresh = m.v, false
+		slices.Sort(m.sorted[:m.n])
+	}
+	return m.sorted[int(q*float64(m.n-1)+0.5)]
 }
 
 type worker struct {
 	Listed
+	open     bool // see open
 	here     bool // named in the list this scheduler has
 	own      []*posting
 	most     int // most own postings seen running here together
@@ -527,9 +532,18 @@
 	return nil
 }
 
+// open works out which ranked workers take any txn now; with many held it must not be asked for each of them.
+func (s *Scheduler) open(now float64) bool {
+	some := false
+	for _, w := range s.ranked {
+		w.open = w.State == Running && w.here && now >= w.aside && s.room(now, w)
+		some = some || w.open
+	}
+	return some
+}
+
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
-	return w.State == Running && w.here && w != t.turned && s.mayGo(now, t, w) && s.room(now, w) && now >= w.aside &&
-		s.warm(now, t, w)
+	return w.open && w != t.turned && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
 
 // mayGo keeps rule 2.
@@ -672,11 +686,7 @@
 	if s.stale || s.since >= rankAfter || now >= s.rankAt+rankEvery {
 		s.rerank(now)
 	}
-	room := false
-	for _, w := range s.ranked {
-		room = room || now >= w.aside && s.room(now, w)
-	}
-	if !room {
+	if !s.open(now) {
 		return Post{}, false
 	}
 	var best *txn
