--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	rankAfter     = 3   // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0
 	homes         = 3     // see pickHome
+	waitPart      = 2     // see waiting: one may wait for a slot while another ends, more only make both late
 	tellEvery     = 100.0 // a few messages a job at the most; a job runs far longer
 	mostBytes     = 255   // of a message, a whole number of entries
 	samplesKept   = 9     // an odd few: the median stands against the odd heavy one
@@ -534,6 +535,9 @@
 
 // open works out which ranked workers take any txn now; with many held it must not be asked for each of them.
 func (s *Scheduler) open(now float64) bool {
+	if s.waiting(now) >= max(1, waitPart*len(s.ranked)/max(s.terms.Peers, 1)) {
+		return false
+	}
 	some := false
 	for _, w := range s.ranked {
 		w.open = w.State == Running && w.here && now >= w.aside && s.room(now, w)
@@ -542,6 +546,20 @@
 	return some
 }
 
+// waiting counts own postings that wait at workers. With many schedulers the one that each lets wait at a worker
+// makes a queue that none of them sees, so each keeps to its even part of what may wait in all.
+func (s *Scheduler) waiting(now float64) int {
+	n := 0
+	for _, w := range s.list {
+		for _, p := range w.own {
+			if s.terms.TellsStart && !p.begun && now-p.at > s.prompt(w) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
 	return w.open && w != t.turned && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -218,6 +218,24 @@
 	}
 }
 
+// Eight schedulers that each let one posting wait at each worker make a queue of eight that none of them sees.
+func TestWaitingPostingsKeepToTheirPart(t *testing.T) {
+	terms := plainTerms
+	terms.Peers = 8
+	s := started(terms, 8)
+	n, now := 0, 0.0
+	for i := range 8 {
+		arrive(s, now, fmt.Sprint(i), 0, 1000)
+		if _, ok := s.NextPosting(now); ok {
+			n++
+		}
+		now += 200 // none starts
+	}
+	if n != waitPart {
+		t.Errorf("%d of its postings wait", n)
+	}
+}
+
 // world plays random outcomes, late and out of step, to several schedulers, and checks the rules at each step.
 type world struct {
 	r      *rand.Rand
