Second copies of what is out at a worker that fails; probes as its trial

Where the scheme allows it a txn in doubt now goes to another worker too, and a probe is the trial where probes are allowed. The oldest held txn is now looked for among all held ones: after a 'full' it stood at the end.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,7 +2,8 @@
 
 // One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Ended, Started,
 // ListChanged, ListFailed, Probed, Gone: they only update what is known), then pulls decisions,
-// one a call, until none is left (NextFinal, NextCancel, NextPosting, NextMessage, NextWatch), and calls again at
+// one a call, until none is left (NextFinal, NextCancel, NextPosting, NextProbe,
+// NextMessage, NextWatch), and calls again at
 // Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, bounds, pick.
 // Beside it stand six mechanisms:
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
@@ -74,6 +75,8 @@
 	fullWith int
 	fails    int // in a row
 	aside    float64
+	probing  bool
+	probedAt float64
 	sent     []sending // to a worker still cold
 	tie      uint32
 	hash     uint32
@@ -87,6 +90,7 @@
 	no               int
 	at, start        float64
 	begun, done, off bool
+	ran              bool // it ended, and may have run
 }
 
 type txn struct {
@@ -97,8 +101,6 @@
 	out              int
 	over             bool // answered or gone
 	ran              bool // an ended posting may have run
-	groupW           *worker
-	groupAt          float64
 	surplus          bool
 	turned           *worker // the last to turn it away, passed over while there are others
 	hash             uint32  // of its key
@@ -112,7 +114,7 @@
 	draws    uint32
 	born     float64 // when the first list came
 	txns     map[string]*txn
-	held     []*txn // open txns with no posting out, in order of arrival
+	held     []*txn // open txns that want a posting: none is out, or the one that is out is in doubt
 	over     []*txn // answered txns that still have postings out
 	byID     map[string]*worker
 	list     []*worker // those the list names, in its order
@@ -125,6 +127,7 @@
 	rankAt   float64
 	stale    bool    // the list changed since the last ranking
 	runs     samples // running times
+	delays   samples // times from posting to start
 	tightest float64 // SLA time of any scheme
 	longest  []float64
 	tenants  []tenant
@@ -280,6 +283,7 @@
 	waited := now-p.at > s.prompt(p.w)
 	p.begun, p.start = true, now
 	p.w.delay.add(now - p.at)
+	s.delays.add(now - p.at)
 	running := 0
 	for _, q := range p.w.own {
 		if q.begun {
@@ -317,11 +321,10 @@
 	case Full:
 		w.fullAt, w.fullWith = now, w.known()
 	case NoConnect, Reset:
-		w.fails++
-		w.aside = now + 500*math.Exp2(float64(min(w.fails-1, 4)))
+		s.failed(now, w)
 	}
 	if !how.NeverRan() && how != Done {
-		s.mayHaveRun(t, p)
+		p.ran, t.ran = true, true
 	}
 	if how.NeverRan() && len(s.ranked) > 1 {
 		t.turned = w
@@ -334,15 +337,26 @@
 			delete(s.txns, ref)
 		}
 	} else if t.out == 0 {
-		s.held = append(s.held, t)
+		s.hold(t)
+	}
+}
+
+// failed stands a worker aside, and doubts what is still out there: a cut link gives no reset, and those postings
+// would be silent until their txns expire.
+func (s *Scheduler) failed(now float64, w *worker) {
+	w.fails++
+	w.aside = now + 500*math.Exp2(float64(min(w.fails-1, 4)))
+	for _, p := range w.own {
+		if s.terms.Copies && p.t.out == 1 && !p.t.over && s.terms.Schemes[p.t.Scheme].Effect != OnceOnly {
+			s.hold(p.t)
+		}
 	}
 }
 
-func (s *Scheduler) mayHaveRun(t *txn, p *posting) {
-	if !t.ran || p.at < t.groupAt {
-		t.groupW, t.groupAt = p.w, p.at
+func (s *Scheduler) hold(t *txn) {
+	if !slices.Contains(s.held, t) {
+		s.held = append(s.held, t)
 	}
-	t.ran = true
 }
 
 func (s *Scheduler) report(w *worker, load Load) {
@@ -353,8 +367,16 @@
 
 // Probed tells what came of a probe.
 func (s *Scheduler) Probed(now float64, id string, how Outcome, load Load) {
-	if w := s.byID[id]; w != nil {
+	w := s.byID[id]
+	if w == nil {
+		return
+	}
+	w.probing, w.probedAt = false, now
+	if how == Done {
 		s.report(w, load)
+		w.fails, w.aside = 0, 0
+	} else if w.fails > 0 || how == NoConnect || how == Reset {
+		s.failed(now, w) // a probe that only timed out may have waited at a busy worker
 	}
 }
 
@@ -540,19 +562,33 @@
 	}
 	some := false
 	for _, w := range s.ranked {
-		w.open = w.State == Running && w.here && now >= w.aside && s.room(now, w)
+		w.open = w.State == Running && w.here && !s.suspect(now, w) && s.room(now, w)
 		some = some || w.open
 	}
 	return some
 }
 
+// suspect tells of a worker that failed and has not had its trial: a probe where there are any, since a txn that
+// is the trial waits in vain for a connection; else the next txn once some time has passed.
+func (s *Scheduler) suspect(now float64, w *worker) bool {
+	return w.fails > 0 && (s.terms.Probes || now < w.aside)
+}
+
+// silent tells of a posting that has not started in far longer than others lately took to: it may be lost, as on a
+// link that is cut, where nothing fails. Where no probe can tell, it is taken for lost and no sign of a queue.
+func (s *Scheduler) silent(now float64, p *posting) bool {
+	return s.terms.TellsStart && !p.begun && now-p.at > s.patience()
+}
+
+func (s *Scheduler) patience() float64 { return 3*s.delays.at(1, 300) + 100*s.terms.Tick }
+
 // waiting counts own postings that wait at workers. With many schedulers the one that each lets wait at a worker
 // makes a queue that none of them sees, so each keeps to its even part of what may wait in all.
 func (s *Scheduler) waiting(now float64) int {
 	n := 0
 	for _, w := range s.list {
 		for _, p := range w.own {
-			if s.terms.TellsStart && !p.begun && now-p.at > s.prompt(w) {
+			if s.terms.TellsStart && !p.begun && now-p.at > s.prompt(w) && w.fails == 0 && (s.terms.Probes || !s.silent(now, p)) {
 				n++
 			}
 		}
@@ -567,17 +603,17 @@
 // mayGo keeps rule 2.
 func (s *Scheduler) mayGo(now float64, t *txn, w *worker) bool {
 	row := &s.terms.Schemes[t.Scheme]
-	if !t.ran && t.out == 0 || row.Effect == Repeatable {
-		return true
-	}
-	if row.Effect == OnceOnly || now-t.groupAt >= row.Window {
-		return false
-	}
-	switch row.Group {
-	case GroupZone:
-		return w.Zone == t.groupW.Zone
-	case GroupCell:
-		return w.Cell == t.groupW.Cell
+	for _, p := range t.posts {
+		if !p.done && p.w == w {
+			return false // a second copy where the first is gains nothing
+		}
+		if p.done && !p.ran || row.Effect == Repeatable {
+			continue
+		}
+		if row.Effect == OnceOnly || now-p.at >= row.Window ||
+			row.Group == GroupZone && w.Zone != p.w.Zone || row.Group == GroupCell && w.Cell != p.w.Cell {
+			return false
+		}
 	}
 	return true
 }
@@ -671,10 +707,9 @@
 // crowded tells overload: the oldest held txn has waited beyond the tightest SLA time.
 func (s *Scheduler) crowded(now float64) bool {
 	for _, t := range s.held {
-		if now-t.came > s.tightest {
+		if t.out == 0 && now-t.came > s.tightest {
 			return true
 		}
-		return false
 	}
 	return false
 }
@@ -765,12 +800,17 @@
 // no longer earn enough.
 func (s *Scheduler) decideAt(t *txn, crowded bool) float64 {
 	row := &s.terms.Schemes[t.Scheme]
+	if t.out > 0 {
+		return math.Inf(1) // the posting that is out may still settle it, and ends by its expiry
+	}
 	if len(t.posts) >= s.terms.MaxPosts || t.ran && row.Effect == OnceOnly {
 		return 0
 	}
 	last := t.until - 2*s.terms.Tick
-	if t.ran && row.Effect == Referenced {
-		last = min(last, t.groupAt+row.Window)
+	for _, p := range t.posts {
+		if p.ran && row.Effect == Referenced {
+			last = min(last, p.at+row.Window)
+		}
 	}
 	late := t.due - t.run()
 	if row.LateGain == 0 || crowded {
@@ -796,6 +836,33 @@
 	return Cancel{}, false
 }
 
+// NextProbe decides the next probe: the trial of a worker that stands aside.
+func (s *Scheduler) NextProbe(now float64) (string, bool) {
+	for _, w := range s.list {
+		if now >= s.probeAt(w) {
+			w.probing = true
+			return w.ID, true
+		}
+	}
+	return "", false
+}
+
+func (s *Scheduler) probeAt(w *worker) float64 {
+	at := math.Inf(1)
+	if !s.terms.Probes || w.State != Running || w.probing {
+		return at
+	}
+	if w.fails > 0 {
+		return w.aside
+	}
+	for _, p := range w.own {
+		if s.terms.TellsStart && !p.begun {
+			at = min(at, max(p.at, w.probedAt)+s.patience())
+		}
+	}
+	return at
+}
+
 // NextMessage decides what to tell all peers: own postings in flight, where that has changed.
 func (s *Scheduler) NextMessage(now float64) ([]byte, bool) {
 	if now < s.tellAt() {
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -88,6 +88,7 @@
 		Stay   int64 `json:"max_retry_after"`
 		Advice bool  `json:"retry_after"`
 		Peers  bool  `json:"peers"`
+		Probes bool  `json:"probes"`
 	} `json:"policy_limits"`
 	Rules struct {
 		ColdFrom  float64 `json:"cold_from"`
@@ -103,7 +104,7 @@
 
 func (f *facts) terms(seed uint64) balance.Terms {
 	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Tick: ms(f.Tick), OverGain: f.Surplus,
-		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
+		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers, Probes: f.Limits.Probes,
 		MustAsk: f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
 		ColdFrom: f.Rules.ColdFrom, ColdFor: ms(f.Rules.Cold), Fall: ms(f.Rules.Fall), FallTimes: f.Rules.FallTimes}
 	if t.MaxPosts <= 0 {
@@ -347,6 +348,11 @@
 				l.num("timeout", us(p.Timeout))
 			}
 			l.out.WriteByte('}')
+		} else if id, ok := s.NextProbe(now); ok {
+			more = true
+			l.act("sample", in.id)
+			l.str("worker", id)
+			l.out.WriteByte('}')
 		} else if body, ok := s.NextMessage(now); ok {
 			more = true
 			l.act("broadcast_to", in.id)
