--- a/balance/balance.go
+++ b/balance/balance.go
@@ -529,14 +529,22 @@
 // worker that lacks the key holds a slot idle while it fetches, and any that serves it drops another key. All
 // schedulers name the same homes, by hash; where none has room, the next by hash soon keeps the key too.
 func (s *Scheduler) pickHome(now float64, t *txn, ranks []*worker) *worker {
-	if len(ranks) == 0 {
-		return nil
-	}
 	order := slices.Clone(ranks)
 	for _, w := range order {
 		w.tie = mixed(w.hash, t.hash)
 	}
 	slices.SortFunc(order, func(a, b *worker) int { return cmp.Compare(a.tie, b.tie) })
+	// Homes that are all cold, dead or away would keep their txns waiting for what they can't give.
+	able := func(w *worker) bool { return !s.suspect(now, w) && s.warm(now, t, w) }
+	for i := 0; i+homes <= len(order); i++ {
+		if slices.ContainsFunc(order[i:i+homes], able) {
+			order = order[i:]
+			break
+		}
+	}
+	if len(order) == 0 {
+		return nil
+	}
 	n := min(homes, len(order))
 	at := func(w *worker) int { return slices.Index(ranks, w) }
 	slices.SortFunc(order[:n], func(a, b *worker) int { return at(a) - at(b) })
