--- a/balance/balance.go
+++ b/balance/balance.go
@@ -123,6 +123,8 @@
 	costs    []uint8
 	costAt   int
 	bins     [numBins]int
+	keys     []uint32 // of the last keyed txns
+	asked    map[uint32]int
 	since    int // completions since the last ranking
 	rankAt   float64
 	stale    bool    // the list changed since the last ranking
@@ -142,7 +144,7 @@
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{}, tightest: math.Inf(1), born: -1,
-		edges:   map[int][]float64{},
+		edges: map[int][]float64{}, asked: map[uint32]int{},
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
 	for _, row := range terms.Schemes {
 		s.tightest = min(s.tightest, row.SLA)
@@ -224,6 +226,9 @@
 	if x.Tenant < len(s.tenants) && s.terms.Quota[x.Tenant] > 0 {
 		t.surplus = s.tenants[x.Tenant].past(now, s.terms.Quota[x.Tenant]/float64(max(s.terms.Peers, 1)))
 	}
+	if x.Key != "" {
+		s.keepKey(t.hash)
+	}
 	s.txns[x.Ref] = t
 	s.held = append(s.held, t)
 }
@@ -253,6 +258,18 @@
 	s.bins[b]++
 }
 
+// keepKey counts the keys of the last txns, to know how much of the work asks for each.
+func (s *Scheduler) keepKey(hash uint32) {
+	s.keys = append(s.keys, hash)
+	s.asked[hash]++
+	if len(s.keys) > costsKept {
+		if s.asked[s.keys[0]]--; s.asked[s.keys[0]] == 0 {
+			delete(s.asked, s.keys[0])
+		}
+		s.keys = s.keys[1:]
+	}
+}
+
 func binCost(b int) float64 { return math.Exp2((float64(b-40) + 0.5) / binsPerDouble) }
 
 func (s *Scheduler) median() float64 {
@@ -536,8 +553,10 @@
 	slices.SortFunc(order, func(a, b *worker) int { return cmp.Compare(a.tie, b.tie) })
 	// Homes that are all cold, dead or away would keep their txns waiting for what they can't give.
 	able := func(w *worker) bool { return !s.suspect(now, w) && s.warm(now, t, w) }
-	for i := 0; i+homes <= len(order); i++ {
-		if slices.ContainsFunc(order[i:i+homes], able) {
+	// A key that many ask for has as many more homes as its part of the work fills.
+	n := homes - 1 + int(math.Ceil(float64(s.asked[t.hash]*len(order))/float64(max(len(s.keys), 1))))
+	for i := 0; i+n <= len(order); i++ {
+		if slices.ContainsFunc(order[i:i+n], able) {
 			order = order[i:]
 			break
 		}
@@ -545,7 +564,7 @@
 	if len(order) == 0 {
 		return nil
 	}
-	n := min(homes, len(order))
+	n = min(n, len(order))
 	at := func(w *worker) int { return slices.Index(ranks, w) }
 	slices.SortFunc(order[:n], func(a, b *worker) int { return at(a) - at(b) })
 	band, _ := slices.BinarySearch(s.bounds(n), t.cost)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -186,6 +186,9 @@
 		terms.Seed = uint64(seed)
 		s := started(terms, 8)
 		now := settle(t, s, 100, 1000, 10000)
+		for i := range 200 {
+			s.keepKey(uint32(i)) // the others ask for other keys
+		}
 		for i := range 5 {
 			ref := fmt.Sprint("k", i)
 			s.Arrived(now, Txn{Ref: ref, Hint: []float64{100, 10000}[i%2], Slots: 1, Left: 20000, Key: "area"})
