--- a/balance/balance.go
+++ b/balance/balance.go
@@ -546,21 +546,17 @@
 // worker that lacks the key holds a slot idle while it fetches, and any that serves it drops another key. All
 // schedulers name the same homes, by hash; where none has room, the next by hash soon keeps the key too.
 func (s *Scheduler) pickHome(now float64, t *txn, ranks []*worker) *worker {
-	order := slices.Clone(ranks)
-	for _, w := range order {
-		w.tie = mixed(w.hash, t.hash)
+	var order []*worker
+	for _, w := range ranks {
+		// A home that is cold, dead or away would keep its txns waiting for what it can't give.
+		if !s.suspect(now, w) && s.warm(now, t, w) {
+			w.tie = mixed(w.hash, t.hash)
+			order = append(order, w)
+		}
 	}
 	slices.SortFunc(order, func(a, b *worker) int { return cmp.Compare(a.tie, b.tie) })
-	// Homes that are all cold, dead or away would keep their txns waiting for what they can't give.
-	able := func(w *worker) bool { return !s.suspect(now, w) && s.warm(now, t, w) }
 	// A key that many ask for has as many more homes as its part of the work fills.
 	n := homes - 1 + int(math.Ceil(float64(s.asked[t.hash]*len(order))/float64(max(len(s.keys), 1))))
-	for i := 0; i+n <= len(order); i++ {
-		if slices.ContainsFunc(order[i:i+n], able) {
-			order = order[i:]
-			break
-		}
-	}
 	if len(order) == 0 {
 		return nil
 	}
