--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,11 +28,11 @@
 	costsNeeded   = 30  // fewer say little of where the work lies
 	rankAfter     = 3   // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0
-	homes         = 3     // see pickHome
-	waitPart      = 2     // see waiting: one may wait for a slot while another ends, more only make both late
-	tellEvery     = 100.0 // a few messages a job at the most; a job runs far longer
-	mostBytes     = 255   // of a message, a whole number of entries
-	samplesKept   = 9     // an odd few: the median stands against the odd heavy one
+	homes         = 3    // see pickHome
+	waitPart      = 2    // see waiting: one may wait for a slot while another ends, more only make both late
+	tellEvery     = 33.0 // for each peer: a few messages a job at the most, as a job runs far longer
+	mostBytes     = 255  // of a message, a whole number of entries
+	samplesKept   = 9    // an odd few: the median stands against the odd heavy one
 )
 
 // samples holds the last few measurements; figures are worked out from them when asked for.
@@ -901,15 +901,17 @@
 	return body, true
 }
 
-// tellAt is when the next message goes out: soon after a change; else now and then, since one may be lost.
+// tellAt is when the next message goes out: soon after a change; else now and then, since one may be lost. The more
+// peers there are the more pay for each, so the rarer it is.
 func (s *Scheduler) tellAt() float64 {
 	if !s.terms.Messages || s.terms.Peers <= 1 {
 		return math.Inf(1)
 	}
+	every := tellEvery * float64(s.terms.Peers)
 	if s.told != s.moves {
-		return s.toldAt + tellEvery
+		return s.toldAt + every
 	}
-	return s.toldAt + 10*tellEvery
+	return s.toldAt + 10*every
 }
 
 // NextWatch decides whether to ask for the list's changes now.
