--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,11 +28,12 @@
 	costsNeeded   = 30  // fewer say little of where the work lies
 	rankAfter     = 3   // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0
-	homes         = 3    // see pickHome
-	waitPart      = 2    // see waiting: one may wait for a slot while another ends, more only make both late
-	tellEvery     = 33.0 // for each peer: a few messages a job at the most, as a job runs far longer
-	mostBytes     = 255  // of a message, a whole number of entries
-	samplesKept   = 9    // an odd few: the median stands against the odd heavy one
+	homes         = 3      // see pickHome
+	waitPart      = 2      // see waiting: one may wait for a slot while another ends, more only make both late
+	tellEvery     = 33.0   // for each peer: a few messages a job at the most, as a job runs far longer
+	shareOver     = 4000.0 // short, as clients come in bursts, yet a dozen txns of most tenants
+	mostBytes     = 255    // of a message, a whole number of entries
+	samplesKept   = 9      // an odd few: the median stands against the odd heavy one
 )
 
 // samples holds the last few measurements; figures are worked out from them when asked for.
@@ -224,7 +225,7 @@
 	s.longest[x.Scheme] = max(s.longest[x.Scheme], x.Left)
 	t.due = now + x.Left - s.longest[x.Scheme] + row.SLA + row.Stretch*t.run()
 	if x.Tenant < len(s.tenants) && s.terms.Quota[x.Tenant] > 0 {
-		t.surplus = s.tenants[x.Tenant].past(now, s.terms.Quota[x.Tenant]/float64(max(s.terms.Peers, 1)))
+		t.surplus = s.tenants[x.Tenant].past(now, s.terms.Quota[x.Tenant]/float64(max(s.terms.Peers, 1)), x.Repeat)
 	}
 	if x.Key != "" {
 		s.keepKey(t.hash)
@@ -233,15 +234,17 @@
 	s.held = append(s.held, t)
 }
 
-// past tells whether this arrival is beyond the share, over the time that the last few arrivals took.
-func (n *tenant) past(now, quota float64) bool {
-	n.came = append(n.came, now)
-	keep := max(8, int(quota*4))
-	if len(n.came) > keep {
-		n.came = n.came[1:]
+// past tells whether an arrival is beyond its tenant's share, by those within it that came lately. A repeat takes
+// none of the share: its first try has, and with overload come repeats of what was declined.
+func (n *tenant) past(now, quota float64, repeat bool) bool {
+	n.came = slices.DeleteFunc(n.came, func(at float64) bool { return at < now-shareOver })
+	if float64(len(n.came)) >= quota*shareOver/1000 {
+		return true
+	}
+	if !repeat {
+		n.came = append(n.came, now)
 	}
-	span := now - n.came[0]
-	return len(n.came) == keep && float64(keep-1) > quota*span/1000*1.1
+	return false
 }
 
 func (t *txn) run() float64 { return t.cost / max(t.Slots, 1) }
