--- a/balance/balance.go
+++ b/balance/balance.go
@@ -661,7 +661,7 @@
 			}
 		}
 	}
-	return w.known() < w.fullWith || now >= w.fullAt+s.fullFor(w)
+	return w.known() < w.fullWith || now >= w.fullAt+s.fullFor()
 }
 
 // sure tells whether this scheduler holds less than its even part of the slots there: where the others hold as
@@ -680,15 +680,9 @@
 	return 1 + int(math.Ceil(w.bears.at(0.5, math.MaxInt32)))
 }
 
-// fullFor is how long a worker that showed itself full is believed to stay so while no own posting there ends:
-// the time in which one of the others' is likely to.
-func (s *Scheduler) fullFor(w *worker) float64 {
-	others := float64(w.most - w.fullWith)
-	if s.terms.Peers <= 1 {
-		others = 0
-	}
-	return s.runs.at(0.5, 100) / max(others, 0.25)
-}
+// fullFor is how long a worker that showed itself full is believed to take no more than it has. A trial sooner mostly
+// ends as a posting that waits there, late, while a slot that an own posting leaves is known at once.
+func (s *Scheduler) fullFor() float64 { return 16 * s.runs.at(0.5, 100) }
 
 // warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, and half
 // of the budget of the window at the most, since a window may meet two turns.
@@ -940,7 +934,7 @@
 		at = min(at, s.decideAt(t, crowded))
 	}
 	for _, w := range s.list {
-		for _, x := range []float64{w.fullAt + s.fullFor(w), w.aside} {
+		for _, x := range []float64{w.fullAt + s.fullFor(), w.aside} {
 			if x > now {
 				at = min(at, x)
 			}
