--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,7 @@
 	rankAfter     = 3   // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0
 	homes         = 3      // see pickHome
-	waitPart      = 2      // see waiting: one may wait for a slot while another ends, more only make both late
+	waitLeast     = 3      // see waiting: with fewer one lost posting would stop a scheduler among many
 	tellEvery     = 33.0   // for each peer: a few messages a job at the most, as a job runs far longer
 	shareOver     = 4000.0 // short, as clients come in bursts, yet a dozen txns of most tenants
 	mostBytes     = 255    // of a message, a whole number of entries
@@ -583,7 +583,7 @@
 
 // open works out which ranked workers take any txn now; with many held it must not be asked for each of them.
 func (s *Scheduler) open(now float64) bool {
-	if s.waiting(now) >= max(1, waitPart*len(s.ranked)/max(s.terms.Peers, 1)) {
+	if s.waiting(now) >= max(waitLeast, len(s.ranked)/max(s.terms.Peers, 1)) {
 		return false
 	}
 	some := false
