--- a/balance/balance.go
+++ b/balance/balance.go
@@ -601,12 +601,13 @@
 }
 
 // silent tells of a posting that has not started in far longer than others lately took to: it may be lost, as on a
-// link that is cut, where nothing fails. Where no probe can tell, it is taken for lost and no sign of a queue.
+// link that is cut or at a worker that hangs, where nothing fails. It is no sign of a queue: counted as one, a few
+// such workers stopped all postings elsewhere.
 func (s *Scheduler) silent(now float64, p *posting) bool {
 	return s.terms.TellsStart && !p.begun && now-p.at > s.patience()
 }
 
-func (s *Scheduler) patience() float64 { return 3*s.delays.at(1, 300) + 100*s.terms.Tick }
+func (s *Scheduler) patience() float64 { return 3*s.delays.at(0.5, 100) + 2*s.runs.at(0.5, 300) }
 
 // waiting counts own postings that wait at workers. With many schedulers the one that each lets wait at a worker
 // makes a queue that none of them sees, so each keeps to its even part of what may wait in all.
@@ -614,7 +615,7 @@
 	n := 0
 	for _, w := range s.list {
 		for _, p := range w.own {
-			if s.terms.TellsStart && !p.begun && now-p.at > s.prompt(w) && w.fails == 0 && (s.terms.Probes || !s.silent(now, p)) {
+			if s.terms.TellsStart && !p.begun && now-p.at > s.prompt(w) && w.fails == 0 && !s.silent(now, p) {
 				n++
 			}
 		}
