--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,17 +1,16 @@
 package balance
 
-// One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Ended, Started,
-// ListChanged, ListFailed, Probed, Gone: they only update what is known), then pulls decisions,
-// one a call, until none is left (NextFinal, NextCancel, NextPosting, NextProbe,
-// NextMessage, NextWatch), and calls again at
-// Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, bounds, pick.
-// Beside it stand six mechanisms:
+// One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Started, Ended, Gone,
+// ListChanged, Watched, Probed, Heard: they only update what is known), then pulls decisions, one a call, until
+// none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls again at Wake.
+// The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, bounds, pick. The list is
+// followed as it is told (NextWatch where it has to be asked for). Beside these stand six mechanisms:
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
-//  2. Suspicion: a worker that fails or runs far slower than its hints say stands aside until a trial is due.
-//  3. Fresh workers: schedulers take turns by own number, each within its part of the cold budget.
-//  4. Further postings: what never ran goes again, what may have run as its scheme allows.
-//  5. Overload: what is held past its SLA time is given up, so that the rest is in time.
-//  6. Following the list: watched where it must be asked for, and watched again when the watch breaks.
+//  2. Homes: a txn that needs a key is banded among the few workers that keep it.
+//  3. Suspicion: a worker that fails or falls silent stands aside until a cheap trial brings it back.
+//  4. Fresh workers: schedulers take turns by own number, each within its part of the cold budget.
+//  5. Further postings: what never ran goes again, what may have run or is in doubt as its scheme allows.
+//  6. Overload: told by the oldest held wait; then most gain still likely goes first, and the late is declined.
 
 import (
 	"cmp"
@@ -22,16 +21,19 @@
 )
 
 const (
-	binsPerDouble = 4   // histogram bins: a band's edge is then off by a fifth of a cost at the most
-	numBins       = 160 // spans 40 doublings, more than any two jobs differ by
-	costsKept     = 500 // long enough that the few heavy costs do not move the edges at each one
-	costsNeeded   = 30  // fewer say little of where the work lies
-	rankAfter     = 3   // C: loads here change with each job, and a sort of a few workers costs little
-	rankEvery     = 1000.0
+	binsPerDouble = 4      // histogram bins: a band's edge is then off by a fifth of a cost at the most
+	numBins       = 160    // spans 40 doublings, more than any two jobs differ by
+	costsKept     = 500    // long enough that the few heavy costs do not move the edges at each one
+	costsNeeded   = 30     // fewer say little of where the work lies
+	rankAfter     = 3      // C: loads here change with each job, and a sort of a few workers costs little
+	rankEvery     = 1000.0 // about as old as a report gets
 	homes         = 3      // see pickHome
 	waitLeast     = 3      // see waiting: with fewer one lost posting would stop a scheduler among many
 	tellEvery     = 33.0   // for each peer: a few messages a job at the most, as a job runs far longer
 	shareOver     = 4000.0 // short, as clients come in bursts, yet a dozen txns of most tenants
+	asideFirst    = 500.0  // then twice as long each time: a restart takes seconds, a slip less
+	watchFirst    = 250.0  // of the same kind, kept well below the time after which the list counts as known
+	coldPart      = 0.5    // of the cold budget: hints are rough, and a txn may cost many times its own
 	mostBytes     = 255    // of a message, a whole number of entries
 	samplesKept   = 9      // an odd few: the median stands against the odd heavy one
 )
@@ -137,6 +139,7 @@
 	moves    int // postings made or ended so far
 	told     int // moves when peers were last told
 	toldAt   float64
+	heardAt  map[int]float64 // when each peer last told
 	watching bool
 	watchAt  float64
 	watchBad int
@@ -145,7 +148,7 @@
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{}, tightest: math.Inf(1), born: -1,
-		edges: map[int][]float64{}, asked: map[uint32]int{},
+		edges: map[int][]float64{}, asked: map[uint32]int{}, heardAt: map[int]float64{},
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
 	for _, row := range terms.Schemes {
 		s.tightest = min(s.tightest, row.SLA)
@@ -207,7 +210,7 @@
 	}
 	// A list service that turns calls away is not helped by all schedulers calling at once again.
 	s.watchBad = min(s.watchBad+1, 4)
-	s.watchAt = now + 250*float64(int(1)<<s.watchBad)*(0.5+float64(s.chance()%1024)/1024)
+	s.watchAt = now + watchFirst*float64(int(1)<<s.watchBad)*(0.5+float64(s.chance()%1024)/1024)
 }
 
 // Arrived takes a new txn, which is now owed one final answer.
@@ -328,6 +331,9 @@
 	p.done = true
 	s.moves++
 	w.own = slices.DeleteFunc(w.own, func(q *posting) bool { return q == p })
+	if !w.here && len(w.own) == 0 && s.byID[w.ID] == w {
+		delete(s.byID, w.ID)
+	}
 	t.out--
 	s.report(w, load)
 	switch how {
@@ -365,7 +371,7 @@
 // would be silent until their txns expire.
 func (s *Scheduler) failed(now float64, w *worker) {
 	w.fails++
-	w.aside = now + 500*math.Exp2(float64(min(w.fails-1, 4)))
+	w.aside = now + asideFirst*math.Exp2(float64(min(w.fails-1, 4)))
 	for _, p := range w.own {
 		if s.terms.Copies && p.t.out == 1 && !p.t.over && s.terms.Schemes[p.t.Scheme].Effect != OnceOnly {
 			s.hold(p.t)
@@ -412,6 +418,19 @@
 		}
 		w.peers[from] = said[uint16(w.hash)]
 	}
+	s.heardAt[from] = now
+}
+
+// forget drops what a peer said that has been silent for long: it was killed, and its postings end unseen.
+func (s *Scheduler) forget(now float64) {
+	for from, at := range s.heardAt {
+		if now > at+30*s.tellGap() {
+			delete(s.heardAt, from)
+			for _, w := range s.list {
+				delete(w.peers, from)
+			}
+		}
+	}
 }
 
 // known counts the postings in flight at a worker, own ones and those that peers have told of.
@@ -454,6 +473,7 @@
 }
 
 func (s *Scheduler) rerank(now float64) {
+	s.forget(now)
 	s.ranked = s.ranked[:0]
 	for _, w := range s.list {
 		if w.State == Running {
@@ -572,7 +592,7 @@
 		if i < n {
 			w = order[(band+i)%n]
 		} else if spare := s.spare(now, t); spare > (spare+now-t.came)/8 {
-			return nil
+			return nil // not yet: left sooner, homes lose their keys to others' txns and fetches eat the fleet
 		}
 		if s.fits(now, t, w) {
 			return w
@@ -685,17 +705,20 @@
 // ends as a posting that waits there, late, while a slot that an own posting leaves is known at once.
 func (s *Scheduler) fullFor() float64 { return 16 * s.runs.at(0.5, 100) }
 
+func (s *Scheduler) cold(now float64, w *worker) bool {
+	return w.Start > 0 && now-w.Start < s.terms.ColdFor
+}
+
 // warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, and half
 // of the budget of the window at the most, since a window may meet two turns.
 func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
-	age := now - w.Start
-	if w.Start <= 0 || age >= s.terms.ColdFor {
+	if !s.cold(now, w) {
 		return true
 	}
 	if now < s.born+s.terms.Fall {
 		return false // what this scheduler sent before its own restart is forgotten, and still counts
 	}
-	peers := max(s.terms.Peers, 1)
+	age, peers := now-w.Start, max(s.terms.Peers, 1)
 	if peers > 1 && int(age/s.terms.Fall)%peers != s.terms.Me%peers {
 		return false
 	}
@@ -707,7 +730,7 @@
 	}
 	from := max(age-s.terms.Fall, 0)
 	share := s.terms.ColdFrom + (1-s.terms.ColdFrom)*from/s.terms.ColdFor
-	budget := s.terms.FallTimes * share * s.terms.Fall * float64(slots) * 0.5
+	budget := s.terms.FallTimes * share * s.terms.Fall * float64(slots) * coldPart
 	if peers > 1 {
 		budget /= 2
 	}
@@ -784,7 +807,7 @@
 	best.out++
 	s.moves++
 	to.own = append(to.own, p)
-	if age := now - to.Start; to.Start > 0 && age < s.terms.ColdFor {
+	if s.cold(now, to) {
 		to.sent = append(to.sent, sending{now, best.cost})
 		if now-to.sent[0].at > s.terms.Fall {
 			to.sent = to.sent[1:]
@@ -905,13 +928,14 @@
 	if !s.terms.Messages || s.terms.Peers <= 1 {
 		return math.Inf(1)
 	}
-	every := tellEvery * float64(s.terms.Peers)
 	if s.told != s.moves {
-		return s.toldAt + every
+		return s.toldAt + s.tellGap()
 	}
-	return s.toldAt + 10*every
+	return s.toldAt + 10*s.tellGap()
 }
 
+func (s *Scheduler) tellGap() float64 { return tellEvery * float64(s.terms.Peers) }
+
 // NextWatch decides whether to ask for the list's changes now.
 func (s *Scheduler) NextWatch(now float64) bool {
 	if !s.terms.MustAsk || s.watching || now < s.watchAt {
@@ -927,6 +951,9 @@
 	if s.terms.MustAsk && !s.watching {
 		at = min(at, s.watchAt)
 	}
+	for _, w := range s.list {
+		at = min(at, s.probeAt(w))
+	}
 	if len(s.held) == 0 {
 		return max(at, now+s.terms.Tick)
 	}
@@ -934,13 +961,20 @@
 	for _, t := range s.held {
 		at = min(at, s.decideAt(t, crowded))
 	}
+	next := func(x float64) {
+		if x > now {
+			at = min(at, x)
+		}
+	}
 	for _, w := range s.list {
-		for _, x := range []float64{w.fullAt + s.fullFor(), w.aside} {
-			if x > now {
-				at = min(at, x)
+		next(w.fullAt + s.fullFor())
+		next(w.aside)
+		for _, p := range w.own {
+			if s.terms.TellsStart && !p.begun {
+				next(p.at + s.patience()) // then it is no more counted as waiting
 			}
 		}
-		if w.Start > 0 && now-w.Start < s.terms.ColdFor {
+		if s.cold(now, w) {
 			at = min(at, now+s.terms.Fall/4)
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math"
 	"math/rand"
@@ -260,6 +261,22 @@
 	}
 }
 
+// A killed peer sends no word that its postings are gone; counted for good they would leave its slots idle.
+func TestSilentPeersAreForgotten(t *testing.T) {
+	terms := plainTerms
+	terms.Peers, terms.Messages = 2, true
+	s := started(terms, 1)
+	w := s.list[0]
+	s.Heard(0, 1, append(binary.BigEndian.AppendUint16(nil, uint16(w.hash)), 4))
+	if w.known() != 4 {
+		t.Fatalf("known %d", w.known())
+	}
+	s.rerank(31 * s.tellGap())
+	if w.known() != 0 {
+		t.Errorf("still %d", w.known())
+	}
+}
+
 // world plays random outcomes, late and out of step, to several schedulers, and checks the rules at each step.
 type world struct {
 	r      *rand.Rand
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -49,7 +49,6 @@
 	MustAsk    bool // the list comes only when asked for
 	AskIn      float64
 	TellsStart bool
-	Progress   float64 // time between progress notes, 0 for none
 	MaxStay    float64 // longest stay-away a client heeds, 0 where none may be given
 	ColdFrom   float64
 	ColdFor    float64
@@ -106,13 +105,11 @@
 // NeverRan reports whether the outcome proves that the posting had no effect.
 func (o Outcome) NeverRan() bool { return o == Full || o == NoConnect || o == NeverSent }
 
-// Load is what a worker reported of itself; a value below 0 was not reported.
-type Load struct {
-	Free, Held, Waiting float64
-}
+// Load is what a worker reported of itself; below 0 it was not reported.
+type Load struct{ Free float64 }
 
 // NoLoad is the report of a worker that said nothing.
-var NoLoad = Load{-1, -1, -1}
+var NoLoad = Load{-1}
 
 // Final is a txn's final answer where no settled posting gave it.
 type Final struct {
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -252,15 +252,8 @@
 
 func (m *message) load() balance.Load {
 	load := balance.NoLoad
-	for name, v := range m.Telemetry {
-		switch name {
-		case "x0":
-			load.Free = v
-		case "concurrent":
-			load.Held = v
-		case "depth":
-			load.Waiting = v
-		}
+	if free, ok := m.Telemetry["x0"]; ok {
+		load.Free = free
 	}
 	return load
 }
