--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,16 +1,17 @@
 package balance
 
 // One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Started, Ended, Gone,
-// ListChanged, Watched, Probed, Heard: they only update what is known), then pulls decisions, one a call, until
-// none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls again at Wake.
-// The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, bounds, pick. The list is
-// followed as it is told (NextWatch where it has to be asked for). Beside these stand six mechanisms:
+// ListChanged, Watched, Probed, Heard: they only update what is known), then pulls decisions, one a call,
+// until none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls again
+// at Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, bounds,
+// pick. The list is followed as it is told (NextWatch where it has to be asked for). Beside these stand six
+// mechanisms:
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
 //  2. Homes: a txn that needs a key is banded among the few workers that keep it.
 //  3. Suspicion: a worker that fails or falls silent stands aside until a cheap trial brings it back.
 //  4. Fresh workers: schedulers take turns by own number, each within its part of the cold budget.
 //  5. Further postings: what never ran goes again, what may have run or is in doubt as its scheme allows.
-//  6. Overload: told by the oldest held wait; then most gain still likely goes first, and the late is declined.
+//  6. Overload: told by the oldest held wait; then what may still gain goes first, the late is declined.
 
 import (
 	"cmp"
@@ -147,7 +148,8 @@
 
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
-	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{}, tightest: math.Inf(1), born: -1,
+	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{},
+		tightest: math.Inf(1), born: -1,
 		edges: map[int][]float64{}, asked: map[uint32]int{}, heardAt: map[int]float64{},
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
 	for _, row := range terms.Schemes {
@@ -237,8 +239,8 @@
 	s.held = append(s.held, t)
 }
 
-// past tells whether an arrival is beyond its tenant's share, by those within it that came lately. A repeat takes
-// none of the share: its first try has, and with overload come repeats of what was declined.
+// past tells whether an arrival is beyond its tenant's share, by those within it that came lately. A repeat
+// takes none of the share: its first try has, and with overload come repeats of what was declined.
 func (n *tenant) past(now, quota float64, repeat bool) bool {
 	n.came = slices.DeleteFunc(n.came, func(at float64) bool { return at < now-shareOver })
 	if float64(len(n.came)) >= quota*shareOver/1000 {
@@ -367,8 +369,8 @@
 	}
 }
 
-// failed stands a worker aside, and doubts what is still out there: a cut link gives no reset, and those postings
-// would be silent until their txns expire.
+// failed stands a worker aside, and doubts what is still out there: a cut link gives no reset, and those
+// postings would be silent until their txns expire.
 func (s *Scheduler) failed(now float64, w *worker) {
 	w.fails++
 	w.aside = now + asideFirst*math.Exp2(float64(min(w.fails-1, 4)))
@@ -614,23 +616,23 @@
 	return some
 }
 
-// suspect tells of a worker that failed and has not had its trial: a probe where there are any, since a txn that
-// is the trial waits in vain for a connection; else the next txn once some time has passed.
+// suspect tells of a worker that failed and has not had its trial: a probe where there are any, since a txn
+// that is the trial waits in vain for a connection; else the next txn once some time has passed.
 func (s *Scheduler) suspect(now float64, w *worker) bool {
 	return w.fails > 0 && (s.terms.Probes || now < w.aside)
 }
 
-// silent tells of a posting that has not started in far longer than others lately took to: it may be lost, as on a
-// link that is cut or at a worker that hangs, where nothing fails. It is no sign of a queue: counted as one, a few
-// such workers stopped all postings elsewhere.
+// silent tells of a posting that has not started in far longer than others lately took to: it may be lost, as
+// on a link that is cut or at a worker that hangs, where nothing fails. It is no sign of a queue: counted as
+// one, a few such workers stopped all postings elsewhere.
 func (s *Scheduler) silent(now float64, p *posting) bool {
 	return s.terms.TellsStart && !p.begun && now-p.at > s.patience()
 }
 
 func (s *Scheduler) patience() float64 { return 3*s.delays.at(0.5, 100) + 2*s.runs.at(0.5, 300) }
 
-// waiting counts own postings that wait at workers. With many schedulers the one that each lets wait at a worker
-// makes a queue that none of them sees, so each keeps to its even part of what may wait in all.
+// waiting counts own postings that wait at workers. With many schedulers the one that each lets wait at a
+// worker makes a queue that none of them sees, so each keeps to its even part of what may wait in all.
 func (s *Scheduler) waiting(now float64) int {
 	n := 0
 	for _, w := range s.list {
@@ -685,8 +687,8 @@
 	return w.known() < w.fullWith || now >= w.fullAt+s.fullFor()
 }
 
-// sure tells whether this scheduler holds less than its even part of the slots there: where the others hold as
-// much and tell nothing of it, room beyond that part is only a guess.
+// sure tells whether this scheduler holds less than its even part of the slots there: where the others hold
+// as much and tell nothing of it, room beyond that part is only a guess.
 func (s *Scheduler) sure(w *worker) bool {
 	part := w.most
 	if !s.terms.Messages {
@@ -695,22 +697,23 @@
 	return w.known() < max(part, 1)
 }
 
-// limit is how many a worker is given at once, one above what ran there lately at the pace of the hints: with more
-// slots than cores, or a neighbour on them, the free ones only make all that runs there late.
+// limit is how many a worker is given at once, one above what ran there lately at the pace of the hints: with
+// more slots than cores, or a neighbour on them, the free ones only make all that runs there late.
 func (s *Scheduler) limit(w *worker) int {
 	return 1 + int(math.Ceil(w.bears.at(0.5, math.MaxInt32)))
 }
 
-// fullFor is how long a worker that showed itself full is believed to take no more than it has. A trial sooner mostly
-// ends as a posting that waits there, late, while a slot that an own posting leaves is known at once.
+// fullFor is how long a worker that showed itself full is believed to take no more than it has. A trial
+// sooner mostly ends as a posting that waits there, late, while a slot that an own posting leaves is known at
+// once.
 func (s *Scheduler) fullFor() float64 { return 16 * s.runs.at(0.5, 100) }
 
 func (s *Scheduler) cold(now float64, w *worker) bool {
 	return w.Start > 0 && now-w.Start < s.terms.ColdFor
 }
 
-// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, and half
-// of the budget of the window at the most, since a window may meet two turns.
+// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, and
+// half of the budget of the window at the most, since a window may meet two turns.
 func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
 	if !s.cold(now, w) {
 		return true
@@ -742,8 +745,8 @@
 	return t.cost <= budget
 }
 
-// spare is how long a txn can still wait and be in time, going by its hint. How long hinted work took lately does not
-// come in: with rough hints that says as much of the hints as of the workers.
+// spare is how long a txn can still wait and be in time, going by its hint. How long hinted work took lately
+// does not come in: with rough hints that says as much of the hints as of the workers.
 func (s *Scheduler) spare(now float64, t *txn) float64 {
 	return t.due - now - t.run()
 }
@@ -840,8 +843,8 @@
 	return !t.ran && t.out == 0 || row.Effect == Repeatable || row.Effect == Referenced && row.Group == GroupAll
 }
 
-// decideAt is when a held txn is given up: at once where nothing more can be done for it, else when an answer can
-// no longer earn enough.
+// decideAt is when a held txn is given up: at once where nothing more can be done for it, else when an answer
+// can no longer earn enough.
 func (s *Scheduler) decideAt(t *txn, crowded bool) float64 {
 	row := &s.terms.Schemes[t.Scheme]
 	if t.out > 0 {
@@ -922,8 +925,8 @@
 	return body, true
 }
 
-// tellAt is when the next message goes out: soon after a change; else now and then, since one may be lost. The more
-// peers there are the more pay for each, so the rarer it is.
+// tellAt is when the next message goes out: soon after a change; else now and then, since one may be lost.
+// The more peers there are the more pay for each, so the rarer it is.
 func (s *Scheduler) tellAt() float64 {
 	if !s.terms.Messages || s.terms.Peers <= 1 {
 		return math.Inf(1)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -16,7 +16,8 @@
 	ColdFrom: 0.2, ColdFor: 20000, Fall: 2000, FallTimes: 3,
 	Schemes: []SchemeRow{{SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2, Kind: -1},
 		{Effect: OnceOnly, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2, Kind: -1},
-		{Effect: Referenced, Group: GroupCell, Window: 5000, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, Kind: -1}}}
+		{Effect: Referenced, Group: GroupCell, Window: 5000, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1,
+			Kind: -1}}}
 
 func started(terms Terms, workers int) *Scheduler {
 	s := New(terms)
@@ -222,7 +223,8 @@
 	}
 }
 
-// Eight schedulers that each let one posting wait at each worker make a queue of eight that none of them sees.
+// Eight schedulers that each let one posting wait at each worker make a queue of eight that none of them
+// sees.
 func TestWaitingPostingsKeepToTheirPart(t *testing.T) {
 	terms := plainTerms
 	terms.Peers = 8
@@ -240,8 +242,8 @@
 	}
 }
 
-// A cut link gives neither resets nor failed connections to what is out already: the first connection that fails
-// is the sign, and what may run again goes to another worker.
+// A cut link gives neither resets nor failed connections to what is out already: the first connection that
+// fails is the sign, and what may run again goes to another worker.
 func TestDoubtfulPostingsGetSecondCopies(t *testing.T) {
 	s := started(plainTerms, 2)
 	arrive(s, 0, "out", 0, 1000)
@@ -277,7 +279,8 @@
 	}
 }
 
-// world plays random outcomes, late and out of step, to several schedulers, and checks the rules at each step.
+// world plays random outcomes, late and out of step, to several schedulers, and checks the rules at each
+// step.
 type world struct {
 	r      *rand.Rand
 	now    float64
@@ -520,7 +523,8 @@
 		}
 	}
 	from := max(age-w.terms.Fall, 0) / w.terms.ColdFor
-	if most := float64(w.slots) * w.terms.FallTimes * w.terms.Fall * (w.terms.ColdFrom + (1-w.terms.ColdFrom)*from); sum > most {
+	share := w.terms.ColdFrom + (1-w.terms.ColdFrom)*from
+	if most := float64(w.slots) * w.terms.FallTimes * w.terms.Fall * share; sum > most {
 		w.fail("rule 4: %.0f sent to cold %s, budget %.0f", sum, p.Worker, most)
 	}
 }
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -1,5 +1,5 @@
-// Package benchwire decodes the bench's wire to calls on balance, and encodes what balance decides. It makes no
-// choices; its one duty beside the coding is the wake-up timer.
+// Package benchwire decodes the bench's wire to calls on balance, and encodes what balance decides. It makes
+// no choices; its one duty beside the coding is the wake-up timer.
 package benchwire
 
 import (
@@ -80,6 +80,7 @@
 		Kind    []int     `json:"class_kind"`
 		Stretch []float64 `json:"class_stretch"`
 		Starts  bool      `json:"tells_start"`
+		X0      string    `json:"report_x0"`
 	} `json:"domain"`
 	Limits struct {
 		Posts  int   `json:"max_postings"`
@@ -104,7 +105,8 @@
 
 func (f *facts) terms(seed uint64) balance.Terms {
 	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Tick: ms(f.Tick), OverGain: f.Surplus,
-		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers, Probes: f.Limits.Probes,
+		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
+		Probes:  f.Limits.Probes,
 		MustAsk: f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
 		ColdFrom: f.Rules.ColdFrom, ColdFor: ms(f.Rules.Cold), Fall: ms(f.Rules.Fall), FallTimes: f.Rules.FallTimes}
 	if t.MaxPosts <= 0 {
@@ -150,13 +152,14 @@
 var states = map[string]balance.State{"Running": balance.Running, "Stopping": balance.Draining,
 	"Deleted": balance.Removed}
 
-var outcomes = []balance.Outcome{balance.Done, balance.Erred, balance.Full, balance.TimedOut, balance.NoConnect,
-	balance.Reset, balance.Cancelled, balance.NeverSent}
+var outcomes = []balance.Outcome{balance.Done, balance.Erred, balance.Full, balance.TimedOut,
+	balance.NoConnect, balance.Reset, balance.Cancelled, balance.NeverSent}
 
 type instance struct {
 	id    int
 	sched *balance.Scheduler
 	timer float64 // when the pending timer comes due
+	free  bool    // the load report's x0 is free slots here
 }
 
 // Link hosts the instances, which share nothing.
@@ -197,7 +200,8 @@
 			if m.Facts == nil {
 				return nil, fmt.Errorf("spawn without facts")
 			}
-			in = &instance{id: m.Inst, sched: balance.New(m.Facts.terms(m.Seed)), timer: math.Inf(1)}
+			in = &instance{id: m.Inst, sched: balance.New(m.Facts.terms(m.Seed)), timer: math.Inf(1),
+				free: m.Facts.Domain.X0 == "free slots"}
 			l.insts[m.Inst] = in
 		case "stop":
 			delete(l.insts, m.Inst)
@@ -250,9 +254,9 @@
 	return ""
 }
 
-func (m *message) load() balance.Load {
+func (in *instance) load(m *message) balance.Load {
 	load := balance.NoLoad
-	if free, ok := m.Telemetry["x0"]; ok {
+	if free, ok := m.Telemetry["x0"]; ok && in.free {
 		load.Free = free
 	}
 	return load
@@ -278,13 +282,13 @@
 	case "dropped":
 		s.Gone(now, m.text())
 	case "answer":
-		s.Ended(now, m.text(), m.Try, m.how(), m.Closed, m.load())
+		s.Ended(now, m.text(), m.Try, m.how(), m.Closed, in.load(m))
 	case "update_of":
 		s.Started(now, m.text(), m.Try)
 	case "datagram":
 		s.Heard(now, m.Author, m.Payload)
 	case "ping_result":
-		s.Probed(now, m.Worker, m.how(), m.load())
+		s.Probed(now, m.Worker, m.how(), in.load(m))
 	case "sync":
 		if m.Scope == "Error" {
 			s.Watched(now, false)
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -1,5 +1,5 @@
-// Command benchlink runs the decisions on the bench's wire: a batch a line on standard input, a reply a line on
-// standard output.
+// Command benchlink runs the decisions on the bench's wire: a batch a line on standard input, a reply a line
+// on standard output.
 package main
 
 import (
