--- a/balance/balance.go
+++ b/balance/balance.go
@@ -928,7 +928,8 @@
 // tellAt is when the next message goes out: soon after a change; else now and then, since one may be lost.
 // The more peers there are the more pay for each, so the rarer it is.
 func (s *Scheduler) tellAt() float64 {
-	if !s.terms.Messages || s.terms.Peers <= 1 {
+	// With so many peers that half a job is over before the next message may go, what it tells is no longer so.
+	if !s.terms.Messages || s.terms.Peers <= 1 || s.tellGap() > s.runs.at(0.5, 300)/2 {
 		return math.Inf(1)
 	}
 	if s.told != s.moves {
