--- a/balance/balance.go
+++ b/balance/balance.go
@@ -118,8 +118,10 @@
 	draws    uint32
 	born     float64 // when the first list came
 	txns     map[string]*txn
-	held     []*txn // open txns that want a posting: none is out, or the one that is out is in doubt
-	over     []*txn // answered txns that still have postings out
+	held     []*txn     // open txns that want a posting: none is out, or the one that is out is in doubt
+	over     []*txn     // answered txns that still have postings out
+	doubled  []*txn     // txns of which a posting began while another was out
+	waits    []*posting // those out that have not begun
 	byID     map[string]*worker
 	list     []*worker // those the list names, in its order
 	ranked   []*worker
@@ -307,6 +309,10 @@
 	}
 	waited := now-p.at > s.prompt(p.w)
 	p.begun, p.start = true, now
+	s.unwait(p)
+	if p.t.out > 1 {
+		s.doubled = append(s.doubled, p.t)
+	}
 	p.w.delay.add(now - p.at)
 	s.delays.add(now - p.at)
 	running := 0
@@ -323,6 +329,10 @@
 	}
 }
 
+func (s *Scheduler) unwait(p *posting) {
+	s.waits = slices.DeleteFunc(s.waits, func(q *posting) bool { return q == p })
+}
+
 // Ended tells how a posting ended, and whether its txn is over.
 func (s *Scheduler) Ended(now float64, ref string, no int, how Outcome, closed bool, load Load) {
 	p := s.posting(ref, no)
@@ -331,6 +341,7 @@
 	}
 	t, w := p.t, p.w
 	p.done = true
+	s.unwait(p)
 	s.moves++
 	w.own = slices.DeleteFunc(w.own, func(q *posting) bool { return q == p })
 	if !w.here && len(w.own) == 0 && s.byID[w.ID] == w {
@@ -348,6 +359,10 @@
 		}
 	case Full:
 		w.fullAt, w.fullWith = now, w.known()
+	case Cancelled:
+		if !p.begun {
+			w.fullAt, w.fullWith = now, w.known()
+		}
 	case NoConnect, Reset:
 		s.failed(now, w)
 	}
@@ -635,16 +650,28 @@
 // worker makes a queue that none of them sees, so each keeps to its even part of what may wait in all.
 func (s *Scheduler) waiting(now float64) int {
 	n := 0
-	for _, w := range s.list {
-		for _, p := range w.own {
-			if s.terms.TellsStart && !p.begun && now-p.at > s.prompt(w) && w.fails == 0 && !s.silent(now, p) {
-				n++
-			}
+	for _, p := range s.waits {
+		if s.terms.TellsStart && now-p.at > s.prompt(p.w) && p.w.fails == 0 && !s.silent(now, p) {
+			n++
 		}
 	}
 	return n
 }
 
+// thin tells of so many schedulers that own postings say next to nothing of a worker's queue: a job is then
+// best sent to try for a slot, and tried elsewhere where it does not start.
+func (s *Scheduler) thin() bool { return s.terms.Peers >= len(s.ranked) }
+
+// tryAt is when a posting that has not begun is taken to wait in a queue, so that its txn may try elsewhere.
+func (s *Scheduler) tryAt(p *posting) float64 {
+	row := &s.terms.Schemes[p.t.Scheme]
+	if !s.thin() || !s.terms.TellsStart || !s.terms.Copies || !s.terms.Cancels || row.Effect == OnceOnly ||
+		p.off || p.t.over || len(p.t.posts) >= s.terms.MaxPosts {
+		return math.Inf(1)
+	}
+	return p.at + s.prompt(p.w)
+}
+
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
 	return w.open && w != t.turned && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
@@ -780,6 +807,11 @@
 
 // NextPosting decides the next posting to make.
 func (s *Scheduler) NextPosting(now float64) (Post, bool) {
+	for _, p := range s.waits {
+		if p.t.out == 1 && now >= s.tryAt(p) {
+			s.hold(p.t)
+		}
+	}
 	if len(s.held) == 0 {
 		return Post{}, false
 	}
@@ -810,6 +842,7 @@
 	best.out++
 	s.moves++
 	to.own = append(to.own, p)
+	s.waits = append(s.waits, p)
 	if s.cold(now, to) {
 		to.sent = append(to.sent, sending{now, best.cost})
 		if now-to.sent[0].at > s.terms.Fall {
@@ -880,6 +913,23 @@
 		}
 		s.over = s.over[1:]
 	}
+	for len(s.doubled) > 0 {
+		t := s.doubled[0]
+		for _, p := range t.posts {
+			if !p.done && !p.begun && !p.off {
+				p.off = true
+				return Cancel{t.Ref, p.no}, true
+			}
+		}
+		s.doubled = s.doubled[1:]
+	}
+	for _, p := range s.waits {
+		// The first stays in its queue; the copy moves on.
+		if p.t.out > 1 && p.no == len(p.t.posts)-1 && now >= s.tryAt(p) {
+			p.off = true
+			return Cancel{p.t.Ref, p.no}, true
+		}
+	}
 	return Cancel{}, false
 }
 
@@ -958,6 +1008,11 @@
 	for _, w := range s.list {
 		at = min(at, s.probeAt(w))
 	}
+	for _, p := range s.waits {
+		if x := s.tryAt(p); x > now {
+			at = min(at, x)
+		}
+	}
 	if len(s.held) == 0 {
 		return max(at, now+s.terms.Tick)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -264,6 +264,33 @@
 }
 
 // A killed peer sends no word that its postings are gone; counted for good they would leave its slots idle.
+// Among very many schedulers a job that lands in a queue that none of them sees would wait there to its end.
+func TestAmongManyUnbegunPostingTriesElsewhere(t *testing.T) {
+	terms := plainTerms
+	terms.Peers = 8
+	s := started(terms, 8)
+	arrive(s, 0, "a", 0, 100)
+	arrive(s, 0, "once", 1, 100)
+	first, other := mustPost(t, s, 0), mustPost(t, s, 0)
+	if other.Ref == "a" {
+		first = other
+	}
+	if p, ok := s.NextPosting(10); ok {
+		t.Fatal("a second posting at once:", p)
+	}
+	second := mustPost(t, s, 500)
+	if second.Ref != "a" || second.Worker == first.Worker {
+		t.Fatal("no copy elsewhere:", second)
+	}
+	if p, ok := s.NextPosting(500); ok {
+		t.Fatal("a once-only txn went again:", p)
+	}
+	s.Started(510, "a", 1)
+	if c, ok := s.NextCancel(510); !ok || c != (Cancel{"a", 0}) {
+		t.Fatal("the copy that waits still is not called off:", c, ok)
+	}
+}
+
 func TestSilentPeersAreForgotten(t *testing.T) {
 	terms := plainTerms
 	terms.Peers, terms.Messages = 2, true
