--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,7 +3,7 @@
 // One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Started, Ended, Gone,
 // ListChanged, Watched, Probed, Heard: they only update what is known), then pulls decisions, one a call,
 // until none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls again
-// at Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, bounds,
+// at Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, band,
 // pick. The list is followed as it is told (NextWatch where it has to be asked for). Beside these stand six
 // mechanisms:
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
@@ -66,7 +66,8 @@
 
 type worker struct {
 	Listed
-	open     bool // see open
+	open     bool // see takes
+	pull     int  // the decision for which that was worked out
 	here     bool // named in the list this scheduler has
 	own      []*posting
 	most     int // most own postings seen running here together
@@ -82,6 +83,7 @@
 	probing  bool
 	probedAt float64
 	sent     []sending // to a worker still cold
+	rankLoad float64   // at the last ranking
 	tie      uint32
 	hash     uint32
 }
@@ -125,7 +127,7 @@
 	byID     map[string]*worker
 	list     []*worker // those the list names, in its order
 	ranked   []*worker
-	edges    map[int][]float64
+	below    [numBins + 1]float64 // work in the histogram below each bin, at the last ranking
 	costs    []uint8
 	costAt   int
 	bins     [numBins]int
@@ -139,6 +141,7 @@
 	tightest float64 // SLA time of any scheme
 	longest  []float64
 	tenants  []tenant
+	pulls    int // postings asked for so far
 	moves    int // postings made or ended so far
 	told     int // moves when peers were last told
 	toldAt   float64
@@ -152,7 +155,7 @@
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{},
 		tightest: math.Inf(1), born: -1,
-		edges: map[int][]float64{}, asked: map[uint32]int{}, heardAt: map[int]float64{},
+		asked: map[uint32]int{}, heardAt: map[int]float64{},
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
 	for _, row := range terms.Schemes {
 		s.tightest = min(s.tightest, row.SLA)
@@ -280,14 +283,20 @@
 	}
 }
 
-func binCost(b int) float64 { return math.Exp2((float64(b-40) + 0.5) / binsPerDouble) }
+// costs holds each bin's cost.
+var costs = func() (c [numBins]float64) {
+	for b := range c {
+		c[b] = math.Exp2((float64(b-40) + 0.5) / binsPerDouble)
+	}
+	return c
+}()
 
 func (s *Scheduler) median() float64 {
 	n := 0
 	for b, k := range s.bins {
 		n += k
 		if k > 0 && 2*n >= len(s.costs) {
-			return binCost(b)
+			return costs[b]
 		}
 	}
 	return 1
@@ -494,45 +503,37 @@
 	s.ranked = s.ranked[:0]
 	for _, w := range s.list {
 		if w.State == Running {
-			w.tie = s.chance()
+			w.tie, w.rankLoad = s.chance(), w.load()
 			s.ranked = append(s.ranked, w)
 		}
 	}
 	slices.SortStableFunc(s.ranked, func(a, b *worker) int {
-		if la, lb := a.load(), b.load(); la != lb {
-			if la < lb {
-				return -1
-			}
-			return 1
+		if a.rankLoad != b.rankLoad {
+			return cmp.Compare(a.rankLoad, b.rankLoad)
 		}
-		return int(int64(a.tie) - int64(b.tie))
+		return cmp.Compare(a.tie, b.tie)
 	})
-	s.edges = map[int][]float64{}
+	s.cut()
 	s.since, s.stale, s.rankAt = 0, false, now
 }
 
-// bounds cuts the histogram into n bands of equal work.
-func (s *Scheduler) bounds(n int) []float64 {
-	if e, ok := s.edges[n]; ok {
-		return e
-	}
-	all := 0.0
-	for b, k := range s.bins {
-		all += float64(k) * binCost(b)
+// band tells in which of n bands of equal work a cost lies, by the histogram as it was at the last ranking.
+// Within a bin the cut lies where the share is reached, or all jobs of one cost go to one band.
+func (s *Scheduler) band(n int, cost float64) int {
+	if s.below[numBins] == 0 {
+		s.cut()
 	}
-	var e []float64
-	sum := 0.0
+	at := min(max(math.Log2(max(cost, 1e-3))*binsPerDouble+40, 0), numBins-0.01)
+	b := int(at)
+	work := s.below[b] + (s.below[b+1]-s.below[b])*(at-float64(b))
+	return min(int(work/max(s.below[numBins], 1)*float64(n)), n-1)
+}
+
+// cut sums the histogram's work up, bin by bin.
+func (s *Scheduler) cut() {
 	for b, k := range s.bins {
-		work := float64(k) * binCost(b)
-		for len(e) < n-1 && work > 0 && sum+work >= all*float64(len(e)+1)/float64(n) {
-			// Within a bin the cut lies where the share is reached, or all jobs of one cost go to one band.
-			part := (all*float64(len(e)+1)/float64(n) - sum) / work
-			e = append(e, binCost(b)*math.Exp2((part-0.5)/binsPerDouble))
-		}
-		sum += work
+		s.below[b+1] = s.below[b] + float64(k)*costs[b]
 	}
-	s.edges[n] = e
-	return e
 }
 
 // pick finds the worker for a txn: that of its band's rank, else the next rank with room.
@@ -558,7 +559,7 @@
 		}
 		return best
 	}
-	band, _ := slices.BinarySearch(s.bounds(len(ranks)), t.cost)
+	band := s.band(len(ranks), t.cost)
 	var second *worker
 	for i := range ranks {
 		if w := ranks[(band+i)%len(ranks)]; s.fits(now, t, w) {
@@ -603,7 +604,7 @@
 	n = min(n, len(order))
 	at := func(w *worker) int { return slices.Index(ranks, w) }
 	slices.SortFunc(order[:n], func(a, b *worker) int { return at(a) - at(b) })
-	band, _ := slices.BinarySearch(s.bounds(n), t.cost)
+	band := s.band(n, t.cost)
 	for i := range order {
 		w := order[i]
 		if i < n {
@@ -618,17 +619,22 @@
 	return nil
 }
 
-// open works out which ranked workers take any txn now; with many held it must not be asked for each of them.
+// open tells whether any ranked worker takes a txn now.
 func (s *Scheduler) open(now float64) bool {
 	if s.waiting(now) >= max(waitLeast, len(s.ranked)/max(s.terms.Peers, 1)) {
 		return false
 	}
-	some := false
-	for _, w := range s.ranked {
+	s.pulls++
+	return slices.ContainsFunc(s.ranked, func(w *worker) bool { return s.takes(now, w) })
+}
+
+// takes works out once a decision whether a worker takes any txn now: it is asked for each of those held.
+func (s *Scheduler) takes(now float64, w *worker) bool {
+	if w.pull != s.pulls {
+		w.pull = s.pulls
 		w.open = w.State == Running && w.here && !s.suspect(now, w) && s.room(now, w)
-		some = some || w.open
 	}
-	return some
+	return w.open
 }
 
 // suspect tells of a worker that failed and has not had its trial: a probe where there are any, since a txn
@@ -673,7 +679,7 @@
 }
 
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
-	return w.open && w != t.turned && s.mayGo(now, t, w) && s.warm(now, t, w)
+	return w != t.turned && s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
 
 // mayGo keeps rule 2.
@@ -935,6 +941,9 @@
 
 // NextProbe decides the next probe: the trial of a worker that stands aside.
 func (s *Scheduler) NextProbe(now float64) (string, bool) {
+	if !s.terms.Probes {
+		return "", false
+	}
 	for _, w := range s.list {
 		if now >= s.probeAt(w) {
 			w.probing = true
@@ -946,7 +955,7 @@
 
 func (s *Scheduler) probeAt(w *worker) float64 {
 	at := math.Inf(1)
-	if !s.terms.Probes || w.State != Running || w.probing {
+	if w.State != Running || w.probing {
 		return at
 	}
 	if w.fails > 0 {
@@ -1005,8 +1014,10 @@
 	if s.terms.MustAsk && !s.watching {
 		at = min(at, s.watchAt)
 	}
-	for _, w := range s.list {
-		at = min(at, s.probeAt(w))
+	if s.terms.Probes {
+		for _, w := range s.list {
+			at = min(at, s.probeAt(w))
+		}
 	}
 	for _, p := range s.waits {
 		if x := s.tryAt(p); x > now {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -66,7 +66,6 @@
 		costs = append(costs, c)
 		arrive(s, 0, fmt.Sprint(i), 0, c)
 	}
-	edges := append(append([]float64{0}, s.bounds(4)...), math.Inf(1))
 	all := 0.0
 	for _, c := range costs {
 		all += c
@@ -74,7 +73,7 @@
 	for i := range 4 {
 		work := 0.0
 		for _, c := range costs {
-			if c >= edges[i] && c < edges[i+1] {
+			if s.band(4, c) == i {
 				work += c
 			}
 		}
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -15,8 +15,8 @@
 )
 
 type batch struct {
-	At   *int64            `json:"at_time"`
-	Msgs []json.RawMessage `json:"msgs"`
+	At   *int64    `json:"at_time"`
+	Msgs []message `json:"msgs"`
 }
 
 type head struct {
@@ -189,11 +189,8 @@
 	l.out.Reset()
 	l.out.WriteString(`{"do":[`)
 	var touched []*instance
-	for _, raw := range b.Msgs {
-		var m message
-		if err := json.Unmarshal(raw, &m); err != nil {
-			return nil, fmt.Errorf("not a message: %w", err)
-		}
+	for i := range b.Msgs {
+		m := &b.Msgs[i]
 		in := l.insts[m.Inst]
 		switch m.Cmd {
 		case "spawn":
@@ -221,7 +218,7 @@
 		if !known {
 			touched = append(touched, in)
 		}
-		l.guard(in, func() { in.take(now, &m) })
+		l.guard(in, func() { in.take(now, m) })
 	}
 	for _, in := range touched {
 		if l.insts[in.id] == in {
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"shalebeam/benchwire"
 )
 
 func main() {
+	debug.SetGCPercent(400) // instances are small and most garbage is read lines: rarer collection saves CPU
 	if err := serve(os.Stdin, os.Stdout, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "benchlink:", err)
 		os.Exit(1)
