--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,6 +35,7 @@
 	asideFirst    = 500.0  // then twice as long each time: a restart takes seconds, a slip less
 	watchFirst    = 250.0  // of the same kind, kept well below the time after which the list counts as known
 	coldPart      = 0.5    // of the cold budget: hints are rough, and a txn may cost many times its own
+	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
 	samplesKept   = 9      // an odd few: the median stands against the odd heavy one
 )
@@ -82,12 +83,13 @@
 	aside    float64
 	probing  bool
 	probedAt float64
-	sent     []sending // to a worker still cold
+	sent     []sending // while still cold
 	rankLoad float64   // at the last ranking
 	tie      uint32
 	hash     uint32
 }
 
+// sending is when some work was sent, or settled.
 type sending struct{ at, work float64 }
 
 type posting struct {
@@ -135,10 +137,11 @@
 	asked    map[uint32]int
 	since    int // completions since the last ranking
 	rankAt   float64
-	stale    bool    // the list changed since the last ranking
-	runs     samples // running times
-	delays   samples // times from posting to start
-	tightest float64 // SLA time of any scheme
+	stale    bool      // the list changed since the last ranking
+	settled  []sending // the last txns settled
+	runs     samples   // running times
+	delays   samples   // times from posting to start
+	tightest float64   // SLA time of any scheme
 	longest  []float64
 	tenants  []tenant
 	pulls    int // postings asked for so far
@@ -361,6 +364,9 @@
 	switch how {
 	case Done:
 		s.since++
+		if s.settled = append(s.settled, sending{now, t.cost}); len(s.settled) > settledKept {
+			s.settled = s.settled[1:]
+		}
 		w.fails, w.aside = 0, 0
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
@@ -550,6 +556,12 @@
 	if t.Key != "" {
 		return s.pickHome(now, t, ranks)
 	}
+	// A turn at a cold worker is short, and left to the ranks most of it would pass unused.
+	for _, w := range ranks {
+		if s.terms.Peers > 1 && s.cold(now, w) && t.run() < s.share(now-w.Start)*(t.due-now) && s.fits(now, t, w) {
+			return w
+		}
+	}
 	if len(s.costs) < costsNeeded {
 		var best *worker
 		for _, w := range ranks {
@@ -745,8 +757,52 @@
 	return w.Start > 0 && now-w.Start < s.terms.ColdFor
 }
 
+// share is the least part of its capacity that a worker has by its age.
+func (s *Scheduler) share(age float64) float64 {
+	return min(s.terms.ColdFrom+(1-s.terms.ColdFrom)*max(age, 0)/s.terms.ColdFor, 1)
+}
+
+// turn tells whether this scheduler is one of those whose turn it is at a cold worker, and how many they are:
+// one, and with more schedulers than workers as many more as it takes to bring the worker its part of the work.
+func (s *Scheduler) turn(now float64, w *worker) (int, bool) {
+	age, peers := now-w.Start, max(s.terms.Peers, 1)
+	if peers == 1 {
+		return 1, true
+	}
+	at := int(age / s.terms.Fall)
+	most := max(peers/max(len(s.ranked), 1), 1)
+	k := max(int(float64(peers)*s.share(float64(at)*s.terms.Fall)/float64(max(len(s.ranked), 1))), 1)
+	// Each worker's turns begin elsewhere, or one scheduler would have all workers of a deploy at once.
+	place := (s.terms.Me - at*most - int(w.hash%uint32(peers))) % peers
+	return k, (place+peers)%peers < k
+}
+
+// carries estimates what a warm worker of the same size carries at the least, in jobs running at once: the
+// most own ones seen together, or the even part of all that schedulers like this one lately had settled.
+func (s *Scheduler) carries(now float64, w *worker) float64 {
+	slots, fleet, work := 1, 0.0, 0.0
+	for _, o := range s.list {
+		if o.Kind == w.Kind && o.Weight <= w.Weight*1.01 {
+			slots = max(slots, o.most)
+		}
+		if o.Start > 0 {
+			fleet += s.share(now - o.Start)
+		} else {
+			fleet++
+		}
+	}
+	if len(s.settled) < samplesKept {
+		return float64(slots)
+	}
+	for _, x := range s.settled {
+		work += x.work
+	}
+	rate := work / max(now-s.settled[0].at, 1)
+	return max(float64(slots), rate*float64(max(s.terms.Peers, 1))/max(fleet, 1))
+}
+
 // warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, and
-// half of the budget of the window at the most, since a window may meet two turns.
+// no more than its part of half the budget of the window, since a window may meet two turns.
 func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
 	if !s.cold(now, w) {
 		return true
@@ -754,21 +810,14 @@
 	if now < s.born+s.terms.Fall {
 		return false // what this scheduler sent before its own restart is forgotten, and still counts
 	}
-	age, peers := now-w.Start, max(s.terms.Peers, 1)
-	if peers > 1 && int(age/s.terms.Fall)%peers != s.terms.Me%peers {
+	k, mine := s.turn(now, w)
+	if !mine {
 		return false
 	}
-	slots := 1
-	for _, o := range s.list {
-		if o.Kind == w.Kind && o.Weight <= w.Weight*1.01 {
-			slots = max(slots, o.most)
-		}
-	}
-	from := max(age-s.terms.Fall, 0)
-	share := s.terms.ColdFrom + (1-s.terms.ColdFrom)*from/s.terms.ColdFor
-	budget := s.terms.FallTimes * share * s.terms.Fall * float64(slots) * coldPart
-	if peers > 1 {
-		budget /= 2
+	share := s.share(now - w.Start - s.terms.Fall)
+	budget := s.terms.FallTimes * share * s.terms.Fall * s.carries(now, w) * coldPart
+	if s.terms.Peers > 1 {
+		budget /= 2 * float64(k)
 	}
 	for _, x := range w.sent {
 		if now-x.at <= s.terms.Fall {
