--- a/balance/balance.go
+++ b/balance/balance.go
@@ -553,15 +553,15 @@
 			}
 		}
 	}
-	if t.Key != "" {
-		return s.pickHome(now, t, ranks)
-	}
 	// A turn at a cold worker is short, and left to the ranks most of it would pass unused.
 	for _, w := range ranks {
 		if s.terms.Peers > 1 && s.cold(now, w) && t.run() < s.share(now-w.Start)*(t.due-now) && s.fits(now, t, w) {
 			return w
 		}
 	}
+	if t.Key != "" {
+		return s.pickHome(now, t, ranks)
+	}
 	if len(s.costs) < costsNeeded {
 		var best *worker
 		for _, w := range ranks {
