--- a/balance/balance.go
+++ b/balance/balance.go
@@ -137,11 +137,13 @@
 	asked    map[uint32]int
 	since    int // completions since the last ranking
 	rankAt   float64
-	stale    bool      // the list changed since the last ranking
-	settled  []sending // the last txns settled
-	runs     samples   // running times
-	delays   samples   // times from posting to start
-	tightest float64   // SLA time of any scheme
+	sizes    map[int]float64 // the most weight seen, by kind, where weights are lowered by load
+	busy     float64         // the median of what ranked workers hold for each core, as listed
+	stale    bool            // the list changed since the last ranking
+	settled  []sending       // the last txns settled
+	runs     samples         // running times
+	delays   samples         // times from posting to start
+	tightest float64         // SLA time of any scheme
 	longest  []float64
 	tenants  []tenant
 	pulls    int // postings asked for so far
@@ -158,7 +160,7 @@
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{},
 		tightest: math.Inf(1), born: -1,
-		asked: map[uint32]int{}, heardAt: map[int]float64{},
+		asked: map[uint32]int{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
 	for _, row := range terms.Schemes {
 		s.tightest = min(s.tightest, row.SLA)
@@ -193,6 +195,9 @@
 			// What was learned of the process before its restart says nothing of this one.
 			*w = worker{own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), most: w.most}
 		}
+		if s.terms.LiveWeight {
+			s.sizes[r.Kind] = max(s.sizes[r.Kind], r.Weight)
+		}
 		w.Listed, w.hash = r, crc32.ChecksumIEEE([]byte(r.ID))
 		w.here = r.State != Removed
 		if w.here && !slices.Contains(s.list, w) {
@@ -496,8 +501,14 @@
 
 // ---- the ordinary path: ADUS ----
 
+// held is how many txns a worker holds for each core, as listed some time ago.
+func (s *Scheduler) holds(w *worker) float64 { return s.sizes[w.Kind]/max(w.Weight, 1e-3) - 1 }
+
 // load is what the ranking sorts by: reported free slots, put right by own postings since, else own postings.
-func (w *worker) load() float64 {
+func (s *Scheduler) load(w *worker) float64 {
+	if s.terms.LiveWeight && s.thin() {
+		return s.holds(w) // what reports tell with each answer is far older here
+	}
 	if w.free >= 0 {
 		return -(w.free + float64(w.ownThen-len(w.own)))
 	}
@@ -509,7 +520,7 @@
 	s.ranked = s.ranked[:0]
 	for _, w := range s.list {
 		if w.State == Running {
-			w.tie, w.rankLoad = s.chance(), w.load()
+			w.tie, w.rankLoad = s.chance(), s.load(w)
 			s.ranked = append(s.ranked, w)
 		}
 	}
@@ -519,6 +530,9 @@
 		}
 		return cmp.Compare(a.tie, b.tie)
 	})
+	if n := len(s.ranked); n > 0 {
+		s.busy = s.ranked[n/2].rankLoad
+	}
 	s.cut()
 	s.since, s.stale, s.rankAt = 0, false, now
 }
@@ -545,14 +559,17 @@
 // pick finds the worker for a txn: that of its band's rank, else the next rank with room.
 func (s *Scheduler) pick(now float64, t *txn) *worker {
 	ranks := s.ranked
-	if kind := s.terms.Schemes[t.Scheme].Kind; kind >= 0 {
+	if s.thin() && t.Key == "" {
 		ranks = nil
 		for _, w := range s.ranked {
-			if w.Kind == kind {
+			if s.takes(now, w) {
 				ranks = append(ranks, w)
 			}
 		}
 	}
+	if kind := s.terms.Schemes[t.Scheme].Kind; kind >= 0 {
+		ranks = slices.DeleteFunc(slices.Clone(ranks), func(w *worker) bool { return w.Kind != kind })
+	}
 	// A turn at a cold worker is short, and left to the ranks most of it would pass unused.
 	for _, w := range ranks {
 		if s.terms.Peers > 1 && s.cold(now, w) && t.run() < s.share(now-w.Start)*(t.due-now) && s.fits(now, t, w) {
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -49,6 +49,7 @@
 	MustAsk    bool // the list comes only when asked for
 	AskIn      float64
 	TellsStart bool
+	LiveWeight bool    // a worker's weight is its size, lowered by 1 + what it holds for each core
 	MaxStay    float64 // longest stay-away a client heeds, 0 where none may be given
 	ColdFrom   float64
 	ColdFor    float64
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -63,6 +63,7 @@
 	Tick    int64   `json:"tick"`
 	Mode    string  `json:"membership_mode"`
 	Surplus float64 `json:"surplus_gain"`
+	Weights string  `json:"weights"`
 	Schemes []struct {
 		Effect   string   `json:"effect"`
 		Scope    string   `json:"key_scope"`
@@ -106,8 +107,9 @@
 func (f *facts) terms(seed uint64) balance.Terms {
 	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Tick: ms(f.Tick), OverGain: f.Surplus,
 		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
-		Probes:  f.Limits.Probes,
-		MustAsk: f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
+		Probes:     f.Limits.Probes,
+		LiveWeight: f.Weights == "live",
+		MustAsk:    f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
 		ColdFrom: f.Rules.ColdFrom, ColdFor: ms(f.Rules.Cold), Fall: ms(f.Rules.Fall), FallTimes: f.Rules.FallTimes}
 	if t.MaxPosts <= 0 {
 		t.MaxPosts = math.MaxInt
