--- a/balance/balance.go
+++ b/balance/balance.go
@@ -627,6 +627,9 @@
 	slices.SortFunc(order, func(a, b *worker) int { return cmp.Compare(a.tie, b.tie) })
 	// A key that many ask for has as many more homes as its part of the work fills.
 	n := homes - 1 + int(math.Ceil(float64(s.asked[t.hash]*len(order))/float64(max(len(s.keys), 1))))
+	if s.thin() {
+		n = 2 + int(math.Ceil(float64((s.asked[t.hash]-1)*len(order))/float64(max(len(s.keys), 1))))
+	}
 	if len(order) == 0 {
 		return nil
 	}
