--- a/balance/balance.go
+++ b/balance/balance.go
@@ -860,6 +860,11 @@
 			return true
 		}
 	}
+	for _, p := range s.waits {
+		if s.thin() && s.terms.TellsStart && now-p.t.came > s.tightest {
+			return true // held by a worker's queue, as own postings do not tell where there is room
+		}
+	}
 	return false
 }
 
@@ -974,8 +979,20 @@
 	return min(last, late+(t.until-late)/4)
 }
 
+// lateAt is when a posting that has not begun is called off, as its txn can no longer earn enough.
+func (s *Scheduler) lateAt(p *posting, crowded bool) float64 {
+	t := p.t
+	if !s.terms.TellsStart || !s.terms.Cancels || p.off || slices.ContainsFunc(t.posts, func(q *posting) bool {
+		return q.begun && !q.done
+	}) || s.terms.Schemes[t.Scheme].LateGain > 0 && !crowded {
+		return math.Inf(1)
+	}
+	return t.due - t.run()
+}
+
 // NextCancel decides the next posting to call off.
 func (s *Scheduler) NextCancel(now float64) (Cancel, bool) {
+	crowded := s.crowded(now)
 	for len(s.over) > 0 {
 		t := s.over[0]
 		if s.terms.Cancels {
@@ -1004,6 +1021,11 @@
 			p.off = true
 			return Cancel{p.t.Ref, p.no}, true
 		}
+		// Left in their queues to run late, they would make all behind them late too.
+		if !p.off && now >= s.lateAt(p, crowded) {
+			p.off = true
+			return Cancel{p.t.Ref, p.no}, true
+		}
 	}
 	return Cancel{}, false
 }
@@ -1089,8 +1111,10 @@
 		}
 	}
 	for _, p := range s.waits {
-		if x := s.tryAt(p); x > now {
-			at = min(at, x)
+		for _, x := range [2]float64{s.tryAt(p), s.lateAt(p, true)} {
+			if x > now {
+				at = min(at, x)
+			}
 		}
 	}
 	if len(s.held) == 0 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -290,6 +290,25 @@
 	}
 }
 
+// Once-only jobs that queues held past their SLA time ran all the same, and made those behind them late.
+func TestUnbegunPostingThatIsLateIsCalledOff(t *testing.T) {
+	terms := plainTerms
+	terms.Peers = 8
+	s := started(terms, 8)
+	arrive(s, 0, "once", 1, 100)
+	mustPost(t, s, 0)
+	if c, ok := s.NextCancel(900); ok {
+		t.Fatal("called off while it can be in time:", c)
+	}
+	if c, ok := s.NextCancel(1150); !ok || c != (Cancel{"once", 0}) {
+		t.Fatal("not called off:", c, ok)
+	}
+	s.Ended(1151, "once", 0, Cancelled, false, NoLoad)
+	if f, ok := s.NextFinal(1151); !ok || f.Declined {
+		t.Fatal("not reversed at once:", f, ok)
+	}
+}
+
 func TestSilentPeersAreForgotten(t *testing.T) {
 	terms := plainTerms
 	terms.Peers, terms.Messages = 2, true
