--- a/balance/balance.go
+++ b/balance/balance.go
@@ -771,7 +771,12 @@
 // fullFor is how long a worker that showed itself full is believed to take no more than it has. A trial
 // sooner mostly ends as a posting that waits there, late, while a slot that an own posting leaves is known at
 // once.
-func (s *Scheduler) fullFor() float64 { return 16 * s.runs.at(0.5, 100) }
+func (s *Scheduler) fullFor() float64 {
+	if s.thin() {
+		return 0.25 * s.runs.at(0.5, 100)
+	}
+	return 16 * s.runs.at(0.5, 100)
+}
 
 func (s *Scheduler) cold(now float64, w *worker) bool {
 	return w.Start > 0 && now-w.Start < s.terms.ColdFor
