--- a/balance/balance.go
+++ b/balance/balance.go
@@ -946,7 +946,8 @@
 			continue
 		}
 		f := Final{Ref: t.Ref, Declined: s.mayDecline(t)}
-		if f.Declined {
+		// One whose postings were all turned away may find a slot at once with new ones; longest advice made it late.
+		if f.Declined && (len(t.posts) < s.terms.MaxPosts || s.spare(now, t) < 0) {
 			f.Stay = s.terms.MaxStay
 		}
 		s.end(t)
