--- a/balance/balance.go
+++ b/balance/balance.go
@@ -83,6 +83,7 @@
 	aside    float64
 	probing  bool
 	probedAt float64
+	freedAt  float64   // when an own posting there last ended as settled
 	sent     []sending // while still cold
 	rankLoad float64   // at the last ranking
 	tie      uint32
@@ -188,12 +189,12 @@
 	for _, r := range rows {
 		w := s.byID[r.ID]
 		if w == nil {
-			w = &worker{free: -1, fullAt: math.Inf(-1)}
+			w = &worker{free: -1, fullAt: math.Inf(-1), freedAt: math.Inf(-1)}
 			s.byID[r.ID] = w
 		}
 		if w.Start != r.Start {
 			// What was learned of the process before its restart says nothing of this one.
-			*w = worker{own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), most: w.most}
+			*w = worker{own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), freedAt: math.Inf(-1), most: w.most}
 		}
 		if s.terms.LiveWeight {
 			s.sizes[r.Kind] = max(s.sizes[r.Kind], r.Weight)
@@ -372,7 +373,7 @@
 		if s.settled = append(s.settled, sending{now, t.cost}); len(s.settled) > settledKept {
 			s.settled = s.settled[1:]
 		}
-		w.fails, w.aside = 0, 0
+		w.fails, w.aside, w.freedAt = 0, 0, now
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
 			w.bears.add(float64(w.known()+1) * t.run() / max(now-p.start, 1))
@@ -579,6 +580,12 @@
 	if t.Key != "" {
 		return s.pickHome(now, t, ranks)
 	}
+	// Among many, the slot that an own job has just left is the one that is surely free.
+	for _, w := range ranks {
+		if s.thin() && now-w.freedAt <= s.terms.Tick && s.fits(now, t, w) {
+			return w
+		}
+	}
 	if len(s.costs) < costsNeeded {
 		var best *worker
 		for _, w := range ranks {
