--- a/balance/balance.go
+++ b/balance/balance.go
@@ -124,8 +124,7 @@
 	born     float64 // when the first list came
 	txns     map[string]*txn
 	held     []*txn     // open txns that want a posting: none is out, or the one that is out is in doubt
-	over     []*txn     // answered txns that still have postings out
-	doubled  []*txn     // txns of which a posting began while another was out
+	excess   []*txn     // with more postings out than needed: answered, or one has begun
 	waits    []*posting // those out that have not begun
 	byID     map[string]*worker
 	list     []*worker // those the list names, in its order
@@ -329,7 +328,7 @@
 	p.begun, p.start = true, now
 	s.unwait(p)
 	if p.t.out > 1 {
-		s.doubled = append(s.doubled, p.t)
+		s.excess = append(s.excess, p.t)
 	}
 	p.w.delay.add(now - p.at)
 	s.delays.add(now - p.at)
@@ -494,7 +493,7 @@
 	t.over = true
 	s.held = slices.DeleteFunc(s.held, func(h *txn) bool { return h == t })
 	if t.out > 0 {
-		s.over = append(s.over, t)
+		s.excess = append(s.excess, t)
 	} else {
 		delete(s.txns, t.Ref)
 	}
@@ -560,32 +559,21 @@
 // pick finds the worker for a txn: that of its band's rank, else the next rank with room.
 func (s *Scheduler) pick(now float64, t *txn) *worker {
 	ranks := s.ranked
-	if s.thin() && t.Key == "" {
-		ranks = nil
-		for _, w := range s.ranked {
-			if s.takes(now, w) {
-				ranks = append(ranks, w)
-			}
-		}
-	}
 	if kind := s.terms.Schemes[t.Scheme].Kind; kind >= 0 {
 		ranks = slices.DeleteFunc(slices.Clone(ranks), func(w *worker) bool { return w.Kind != kind })
 	}
 	// A turn at a cold worker is short, and left to the ranks most of it would pass unused.
+	// Among many, the slot that an own job has just left is the one that is surely free.
 	for _, w := range ranks {
-		if s.terms.Peers > 1 && s.cold(now, w) && t.run() < s.share(now-w.Start)*(t.due-now) && s.fits(now, t, w) {
+		turn := s.terms.Peers > 1 && s.cold(now, w) && t.run() < s.share(now-w.Start)*(t.due-now)
+		left := s.thin() && t.Key == "" && now-w.freedAt <= s.terms.Tick
+		if (turn || left) && s.fits(now, t, w) {
 			return w
 		}
 	}
 	if t.Key != "" {
 		return s.pickHome(now, t, ranks)
 	}
-	// Among many, the slot that an own job has just left is the one that is surely free.
-	for _, w := range ranks {
-		if s.thin() && now-w.freedAt <= s.terms.Tick && s.fits(now, t, w) {
-			return w
-		}
-	}
 	if len(s.costs) < costsNeeded {
 		var best *worker
 		for _, w := range ranks {
@@ -711,7 +699,7 @@
 func (s *Scheduler) tryAt(p *posting) float64 {
 	row := &s.terms.Schemes[p.t.Scheme]
 	if !s.thin() || !s.terms.TellsStart || !s.terms.Copies || !s.terms.Cancels || row.Effect == OnceOnly ||
-		p.off || p.t.over || len(p.t.posts) >= s.terms.MaxPosts {
+		p.off || len(p.t.posts) >= s.terms.MaxPosts {
 		return math.Inf(1)
 	}
 	return p.at + s.prompt(p.w)
@@ -900,7 +888,7 @@
 // NextPosting decides the next posting to make.
 func (s *Scheduler) NextPosting(now float64) (Post, bool) {
 	for _, p := range s.waits {
-		if p.t.out == 1 && now >= s.tryAt(p) {
+		if p.t.out == 1 && !p.t.over && now >= s.tryAt(p) {
 			s.hold(p.t)
 		}
 	}
@@ -994,48 +982,41 @@
 
 // lateAt is when a posting that has not begun is called off, as its txn can no longer earn enough.
 func (s *Scheduler) lateAt(p *posting, crowded bool) float64 {
-	t := p.t
-	if !s.terms.TellsStart || !s.terms.Cancels || p.off || slices.ContainsFunc(t.posts, func(q *posting) bool {
-		return q.begun && !q.done
-	}) || s.terms.Schemes[t.Scheme].LateGain > 0 && !crowded {
+	if !s.terms.TellsStart || !s.terms.Cancels || p.off || s.terms.Schemes[p.t.Scheme].LateGain > 0 && !crowded ||
+		slices.ContainsFunc(p.t.posts, func(q *posting) bool { return q.begun && !q.done }) {
 		return math.Inf(1)
 	}
-	return t.due - t.run()
+	return p.t.due - p.t.run()
+}
+
+// callOff finds a posting of a txn to call off: any that is out once the txn is over, else one that waits.
+func (t *txn) callOff() (Cancel, bool) {
+	for _, p := range t.posts {
+		if !p.done && !p.off && (t.over || !p.begun) {
+			p.off = true
+			return Cancel{t.Ref, p.no}, true
+		}
+	}
+	return Cancel{}, false
 }
 
 // NextCancel decides the next posting to call off.
 func (s *Scheduler) NextCancel(now float64) (Cancel, bool) {
-	crowded := s.crowded(now)
-	for len(s.over) > 0 {
-		t := s.over[0]
-		if s.terms.Cancels {
-			for _, p := range t.posts {
-				if !p.done && !p.off {
-					p.off = true
-					return Cancel{t.Ref, p.no}, true
-				}
-			}
-		}
-		s.over = s.over[1:]
-	}
-	for len(s.doubled) > 0 {
-		t := s.doubled[0]
-		for _, p := range t.posts {
-			if !p.done && !p.begun && !p.off {
-				p.off = true
-				return Cancel{t.Ref, p.no}, true
-			}
+	if !s.terms.Cancels {
+		s.excess = nil
+	}
+	for len(s.excess) > 0 {
+		if c, ok := s.excess[0].callOff(); ok {
+			return c, true
 		}
-		s.doubled = s.doubled[1:]
+		s.excess = s.excess[1:]
 	}
+	crowded := s.crowded(now)
 	for _, p := range s.waits {
-		// The first stays in its queue; the copy moves on.
-		if p.t.out > 1 && p.no == len(p.t.posts)-1 && now >= s.tryAt(p) {
-			p.off = true
-			return Cancel{p.t.Ref, p.no}, true
-		}
-		// Left in their queues to run late, they would make all behind them late too.
-		if !p.off && now >= s.lateAt(p, crowded) {
+		// Of two that wait the first stays in its queue and the copy moves on. Left there to run late, they would
+		// make all behind them late too.
+		moves := p.t.out > 1 && p.no == len(p.t.posts)-1 && now >= s.tryAt(p)
+		if moves || now >= s.lateAt(p, crowded) {
 			p.off = true
 			return Cancel{p.t.Ref, p.no}, true
 		}
@@ -1091,8 +1072,8 @@
 // tellAt is when the next message goes out: soon after a change; else now and then, since one may be lost.
 // The more peers there are the more pay for each, so the rarer it is.
 func (s *Scheduler) tellAt() float64 {
-	// With so many peers that half a job is over before the next message may go, what it tells is no longer so.
-	if !s.terms.Messages || s.terms.Peers <= 1 || s.tellGap() > s.runs.at(0.5, 300)/2 {
+	// Among many a job is over before the next message may go, and all would rank by the same old ones.
+	if !s.terms.Messages || s.terms.Peers <= 1 || s.thin() {
 		return math.Inf(1)
 	}
 	if s.told != s.moves {
