--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,7 @@
 	shareOver     = 4000.0 // short, as clients come in bursts, yet a dozen txns of most tenants
 	asideFirst    = 500.0  // then twice as long each time: a restart takes seconds, a slip less
 	watchFirst    = 250.0  // of the same kind, kept well below the time after which the list counts as known
+	manyPeers     = 5      // each then sees a fifth of the work at the most, about a job a worker
 	coldPart      = 0.5    // of the cold budget: hints are rough, and a txn may cost many times its own
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
@@ -693,7 +694,7 @@
 
 // thin tells of so many schedulers that own postings say next to nothing of a worker's queue: a job is then
 // best sent to try for a slot, and tried elsewhere where it does not start.
-func (s *Scheduler) thin() bool { return s.terms.Peers >= len(s.ranked) }
+func (s *Scheduler) thin() bool { return s.terms.Peers >= manyPeers }
 
 // tryAt is when a posting that has not begun is taken to wait in a queue, so that its txn may try elsewhere.
 func (s *Scheduler) tryAt(p *posting) float64 {
