--- a/balance/balance.go
+++ b/balance/balance.go
@@ -71,6 +71,7 @@
 	open     bool // see takes
 	pull     int  // the decision for which that was worked out
 	here     bool // named in the list this scheduler has
+	listed   bool // in Scheduler.list
 	own      []*posting
 	most     int // most own postings seen running here together
 	delay    samples
@@ -84,7 +85,6 @@
 	aside    float64
 	probing  bool
 	probedAt float64
-	freedAt  float64   // when an own posting there last ended as settled
 	sent     []sending // while still cold
 	rankLoad float64   // at the last ranking
 	tie      uint32
@@ -139,12 +139,15 @@
 	since    int // completions since the last ranking
 	rankAt   float64
 	sizes    map[int]float64 // the most weight seen, by kind, where weights are lowered by load
-	busy     float64         // the median of what ranked workers hold for each core, as listed
 	stale    bool            // the list changed since the last ranking
 	settled  []sending       // the last txns settled
 	runs     samples         // running times
-	delays   samples         // times from posting to start
-	tightest float64         // SLA time of any scheme
+	left     *worker         // where an own job last ended
+	leftAt   float64
+	turns    []*worker // cold ones at which it is this scheduler's turn
+	running  int       // workers that the list showed as running at the last ranking
+	delays   samples   // times from posting to start
+	tightest float64   // SLA time of any scheme
 	longest  []float64
 	tenants  []tenant
 	pulls    int // postings asked for so far
@@ -189,19 +192,20 @@
 	for _, r := range rows {
 		w := s.byID[r.ID]
 		if w == nil {
-			w = &worker{free: -1, fullAt: math.Inf(-1), freedAt: math.Inf(-1)}
+			w = &worker{free: -1, fullAt: math.Inf(-1)}
 			s.byID[r.ID] = w
 		}
 		if w.Start != r.Start {
 			// What was learned of the process before its restart says nothing of this one.
-			*w = worker{own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), freedAt: math.Inf(-1), most: w.most}
+			*w = worker{listed: w.listed, own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), most: w.most}
 		}
 		if s.terms.LiveWeight {
 			s.sizes[r.Kind] = max(s.sizes[r.Kind], r.Weight)
 		}
 		w.Listed, w.hash = r, crc32.ChecksumIEEE([]byte(r.ID))
 		w.here = r.State != Removed
-		if w.here && !slices.Contains(s.list, w) {
+		if w.here && !w.listed {
+			w.listed = true
 			s.list = append(s.list, w)
 		}
 	}
@@ -209,6 +213,7 @@
 		if !w.here && len(w.own) == 0 {
 			delete(s.byID, w.ID)
 		}
+		w.listed = w.here
 		return !w.here
 	})
 	s.stale = true
@@ -373,7 +378,8 @@
 		if s.settled = append(s.settled, sending{now, t.cost}); len(s.settled) > settledKept {
 			s.settled = s.settled[1:]
 		}
-		w.fails, w.aside, w.freedAt = 0, 0, now
+		w.fails, w.aside = 0, 0
+		s.left, s.leftAt = w, now
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
 			w.bears.add(float64(w.known()+1) * t.run() / max(now-p.start, 1))
@@ -518,22 +524,32 @@
 
 func (s *Scheduler) rerank(now float64) {
 	s.forget(now)
-	s.ranked = s.ranked[:0]
+	s.ranked, s.turns, s.running = s.ranked[:0], s.turns[:0], 0
 	for _, w := range s.list {
 		if w.State == Running {
-			w.tie, w.rankLoad = s.chance(), s.load(w)
-			s.ranked = append(s.ranked, w)
+			s.running++
+		}
+	}
+	for _, w := range s.list {
+		if w.State != Running {
+			continue
+		}
+		// A cold worker is ready only in this scheduler's turn. Left to the ranks most of that would pass unused.
+		if s.cold(now, w) && s.terms.Peers > 1 {
+			if _, mine := s.turn(now, w); !mine {
+				continue
+			}
+			s.turns = append(s.turns, w)
 		}
+		w.tie, w.rankLoad = s.chance(), s.load(w)
+		s.ranked = append(s.ranked, w)
 	}
-	slices.SortStableFunc(s.ranked, func(a, b *worker) int {
+	slices.SortFunc(s.ranked, func(a, b *worker) int {
 		if a.rankLoad != b.rankLoad {
 			return cmp.Compare(a.rankLoad, b.rankLoad)
 		}
 		return cmp.Compare(a.tie, b.tie)
 	})
-	if n := len(s.ranked); n > 0 {
-		s.busy = s.ranked[n/2].rankLoad
-	}
 	s.cut()
 	s.since, s.stale, s.rankAt = 0, false, now
 }
@@ -564,17 +580,18 @@
 		ranks = slices.DeleteFunc(slices.Clone(ranks), func(w *worker) bool { return w.Kind != kind })
 	}
 	// A turn at a cold worker is short, and left to the ranks most of it would pass unused.
-	// Among many, the slot that an own job has just left is the one that is surely free.
-	for _, w := range ranks {
-		turn := s.terms.Peers > 1 && s.cold(now, w) && t.run() < s.share(now-w.Start)*(t.due-now)
-		left := s.thin() && t.Key == "" && now-w.freedAt <= s.terms.Tick
-		if (turn || left) && s.fits(now, t, w) {
+	for _, w := range s.turns {
+		if t.run() < s.share(now-w.Start)*(t.due-now) && slices.Contains(ranks, w) && s.fits(now, t, w) {
 			return w
 		}
 	}
 	if t.Key != "" {
 		return s.pickHome(now, t, ranks)
 	}
+	// Among many, the slot that an own job has just left is the one that is surely free.
+	if w := s.left; s.thin() && now-s.leftAt <= s.terms.Tick && slices.Contains(ranks, w) && s.fits(now, t, w) {
+		return w
+	}
 	if len(s.costs) < costsNeeded {
 		var best *worker
 		for _, w := range ranks {
@@ -791,8 +808,8 @@
 		return 1, true
 	}
 	at := int(age / s.terms.Fall)
-	most := max(peers/max(len(s.ranked), 1), 1)
-	k := max(int(float64(peers)*s.share(float64(at)*s.terms.Fall)/float64(max(len(s.ranked), 1))), 1)
+	each := float64(peers) / float64(max(s.running, 1))
+	k, most := max(int(each*s.share(float64(at)*s.terms.Fall)), 1), max(int(each), 1)
 	// Each worker's turns begin elsewhere, or one scheduler would have all workers of a deploy at once.
 	place := (s.terms.Me - at*most - int(w.hash%uint32(peers))) % peers
 	return k, (place+peers)%peers < k
