--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1122,35 +1122,29 @@
 			at = min(at, s.probeAt(w))
 		}
 	}
-	for _, p := range s.waits {
-		for _, x := range [2]float64{s.tryAt(p), s.lateAt(p, true)} {
-			if x > now {
-				at = min(at, x)
-			}
-		}
-	}
-	if len(s.held) == 0 {
-		return max(at, now+s.terms.Tick)
-	}
-	crowded := s.crowded(now)
-	for _, t := range s.held {
-		at = min(at, s.decideAt(t, crowded))
-	}
 	next := func(x float64) {
 		if x > now {
 			at = min(at, x)
 		}
 	}
-	for _, w := range s.list {
-		next(w.fullAt + s.fullFor())
-		next(w.aside)
-		for _, p := range w.own {
-			if s.terms.TellsStart && !p.begun {
-				next(p.at + s.patience()) // then it is no more counted as waiting
-			}
+	for _, p := range s.waits {
+		next(s.tryAt(p))
+		next(s.lateAt(p, true))
+		if s.terms.TellsStart {
+			next(p.at + s.patience()) // then it is no more counted as waiting
 		}
-		if s.cold(now, w) {
-			at = min(at, now+s.terms.Fall/4)
+	}
+	if len(s.held) > 0 {
+		crowded := s.crowded(now)
+		for _, t := range s.held {
+			at = min(at, s.decideAt(t, crowded))
+		}
+		for _, w := range s.list {
+			next(w.fullAt + s.fullFor())
+			next(w.aside)
+			if s.cold(now, w) {
+				next(now + s.terms.Fall/4)
+			}
 		}
 	}
 	return max(at, now+s.terms.Tick)
