--- a/balance/balance.go
+++ b/balance/balance.go
@@ -650,6 +650,17 @@
 	at := func(w *worker) int { return slices.Index(ranks, w) }
 	slices.SortFunc(order[:n], func(a, b *worker) int { return at(a) - at(b) })
 	band := s.band(n, t.cost)
+	if s.terms.LiveWeight && s.thin() && s.terms.Schemes[t.Scheme].Effect == OnceOnly && !s.crowded(now) {
+		for i := range order {
+			w := order[i]
+			if i < n {
+				w = order[(band+i)%n]
+			}
+			if s.holds(w) < 1 && s.fits(now, t, w) {
+				return w
+			}
+		}
+	}
 	for i := range order {
 		w := order[i]
 		if i < n {
