--- a/balance/balance.go
+++ b/balance/balance.go
@@ -735,6 +735,10 @@
 }
 
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
+	if s.terms.LiveWeight && s.thin() && s.terms.Schemes[t.Scheme].Effect == OnceOnly &&
+		(s.holds(w)-1)*s.runs.at(0.5, 300) > s.spare(now, t) {
+		return false
+	}
 	return w != t.turned && s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
 
