--- a/balance/balance.go
+++ b/balance/balance.go
@@ -677,7 +677,7 @@
 
 // open tells whether any ranked worker takes a txn now.
 func (s *Scheduler) open(now float64) bool {
-	if s.waiting(now) >= max(waitLeast, len(s.ranked)/max(s.terms.Peers, 1)) {
+	if !s.thin() && s.waiting(now) >= max(waitLeast, len(s.ranked)/max(s.terms.Peers, 1)) {
 		return false
 	}
 	s.pulls++
