--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -226,7 +226,7 @@
 // sees.
 func TestWaitingPostingsKeepToTheirPart(t *testing.T) {
 	terms := plainTerms
-	terms.Peers = 8
+	terms.Peers = manyPeers - 1
 	s := started(terms, 8)
 	n, now := 0, 0.0
 	for i := range 8 {
