--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,13 +5,13 @@
 // until none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls again
 // at Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, band,
 // pick. The list is followed as it is told (NextWatch where it has to be asked for). Beside these stand six
-// mechanisms:
+// mechanisms, some in another form among many schedulers (see thin):
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
 //  2. Homes: a txn that needs a key is banded among the few workers that keep it.
 //  3. Suspicion: a worker that fails or falls silent stands aside until a cheap trial brings it back.
 //  4. Fresh workers: schedulers take turns by own number, each within its part of the cold budget.
-//  5. Further postings: what never ran goes again, what may have run or is in doubt as its scheme allows.
-//  6. Overload: told by the oldest held wait; then what may still gain goes first, the late is declined.
+//  5. Further postings: what never ran goes again, what may have run or waits unbegun as its scheme allows.
+//  6. Overload: told by the oldest wait; then what may still gain goes first, the late is declined or called off.
 
 import (
 	"cmp"
@@ -71,7 +71,6 @@
 	open     bool // see takes
 	pull     int  // the decision for which that was worked out
 	here     bool // named in the list this scheduler has
-	listed   bool // in Scheduler.list
 	own      []*posting
 	most     int // most own postings seen running here together
 	delay    samples
@@ -184,10 +183,12 @@
 
 // ListChanged takes the list, whole or only its changes.
 func (s *Scheduler) ListChanged(now float64, whole bool, rows []Listed) {
+	old := s.list
 	if whole {
-		for _, w := range s.list {
+		for _, w := range old {
 			w.here = false
 		}
+		s.list = nil
 	}
 	for _, r := range rows {
 		w := s.byID[r.ID]
@@ -197,25 +198,23 @@
 		}
 		if w.Start != r.Start {
 			// What was learned of the process before its restart says nothing of this one.
-			*w = worker{listed: w.listed, own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), most: w.most}
+			*w = worker{here: w.here, own: w.own, sent: w.sent, free: -1, fullAt: math.Inf(-1), most: w.most}
 		}
 		if s.terms.LiveWeight {
 			s.sizes[r.Kind] = max(s.sizes[r.Kind], r.Weight)
 		}
 		w.Listed, w.hash = r, crc32.ChecksumIEEE([]byte(r.ID))
-		w.here = r.State != Removed
-		if w.here && !w.listed {
-			w.listed = true
+		if r.State != Removed && !w.here {
 			s.list = append(s.list, w)
 		}
+		w.here = r.State != Removed
 	}
-	s.list = slices.DeleteFunc(s.list, func(w *worker) bool {
+	for _, w := range old {
 		if !w.here && len(w.own) == 0 {
 			delete(s.byID, w.ID)
 		}
-		w.listed = w.here
-		return !w.here
-	})
+	}
+	s.list = slices.DeleteFunc(s.list, func(w *worker) bool { return !w.here })
 	s.stale = true
 	if s.born < 0 {
 		s.born = now
@@ -650,22 +649,17 @@
 	at := func(w *worker) int { return slices.Index(ranks, w) }
 	slices.SortFunc(order[:n], func(a, b *worker) int { return at(a) - at(b) })
 	band := s.band(n, t.cost)
+	near := append(slices.Clone(order[band:n]), order[:band]...)
 	if s.terms.LiveWeight && s.thin() && s.terms.Schemes[t.Scheme].Effect == OnceOnly && !s.crowded(now) {
-		for i := range order {
-			w := order[i]
-			if i < n {
-				w = order[(band+i)%n]
-			}
+		// It can't leave a queue, and a fetch costs less than being called off late.
+		for _, w := range append(near, order[n:]...) {
 			if s.holds(w) < 1 && s.fits(now, t, w) {
 				return w
 			}
 		}
 	}
-	for i := range order {
-		w := order[i]
-		if i < n {
-			w = order[(band+i)%n]
-		} else if spare := s.spare(now, t); spare > (spare+now-t.came)/8 {
+	for i, w := range append(near, order[n:]...) {
+		if spare := s.spare(now, t); i >= n && spare > (spare+now-t.came)/8 {
 			return nil // not yet: left sooner, homes lose their keys to others' txns and fetches eat the fleet
 		}
 		if s.fits(now, t, w) {
@@ -675,15 +669,6 @@
 	return nil
 }
 
-// open tells whether any ranked worker takes a txn now.
-func (s *Scheduler) open(now float64) bool {
-	if !s.thin() && s.waiting(now) >= max(waitLeast, len(s.ranked)/max(s.terms.Peers, 1)) {
-		return false
-	}
-	s.pulls++
-	return slices.ContainsFunc(s.ranked, func(w *worker) bool { return s.takes(now, w) })
-}
-
 // takes works out once a decision whether a worker takes any txn now: it is asked for each of those held.
 func (s *Scheduler) takes(now float64, w *worker) bool {
 	if w.pull != s.pulls {
@@ -931,7 +916,9 @@
 	if s.stale || s.since >= rankAfter || now >= s.rankAt+rankEvery {
 		s.rerank(now)
 	}
-	if !s.open(now) {
+	s.pulls++
+	if !s.thin() && s.waiting(now) >= max(waitLeast, len(s.ranked)/max(s.terms.Peers, 1)) ||
+		!slices.ContainsFunc(s.ranked, func(w *worker) bool { return s.takes(now, w) }) {
 		return Post{}, false
 	}
 	var best *txn
