--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,85 +38,8 @@
 	coldPart      = 0.5    // of the cold budget: hints are rough, and a txn may cost many times its own
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
-	samplesKept   = 9      // an odd few: the median stands against the odd heavy one
 )
 
-// samples holds the last few measurements; figures are worked out from them when asked for.
-type samples struct {
-	v, sorted [samplesKept]float64
-	n, i      int
-	fresh     bool
-}
-
-func (m *samples) add(x float64) {
-	m.v[m.i] = x
-	m.i = (m.i + 1) % samplesKept
-	m.n = min(m.n+1, samplesKept)
-	m.fresh = true
-}
-
-func (m *samples) at(q, none float64) float64 {
-	if m.n == 0 {
-		return none
-	}
-	if m.fresh {
-		m.sorted, m.fresh = m.v, false
-		slices.Sort(m.sorted[:m.n])
-	}
-	return m.sorted[int(q*float64(m.n-1)+0.5)]
-}
-
-type worker struct {
-	Listed
-	open     bool // see takes
-	pull     int  // the decision for which that was worked out
-	here     bool // named in the list this scheduler has
-	own      []*posting
-	most     int // most own postings seen running here together
-	delay    samples
-	bears    samples     // how many would have run here at the pace of their hints
-	free     float64     // as last reported; below 0: not reported
-	ownThen  int         // own postings when that report came
-	peers    map[int]int // postings that each peer last said it has there
-	fullAt   float64     // when it last showed itself full, and with how many postings known of
-	fullWith int
-	fails    int // in a row
-	aside    float64
-	probing  bool
-	probedAt float64
-	sent     []sending // while still cold
-	rankLoad float64   // at the last ranking
-	tie      uint32
-	hash     uint32
-}
-
-// sending is when some work was sent, or settled.
-type sending struct{ at, work float64 }
-
-type posting struct {
-	t                *txn
-	w                *worker
-	no               int
-	at, start        float64
-	begun, done, off bool
-	ran              bool // it ended, and may have run
-}
-
-type txn struct {
-	Txn
-	cost             float64
-	came, due, until float64 // due: the SLA time; until: the expiry
-	posts            []*posting
-	out              int
-	over             bool // answered or gone
-	ran              bool // an ended posting may have run
-	surplus          bool
-	turned           *worker // the last to turn it away, passed over while there are others
-	hash             uint32  // of its key
-}
-
-type tenant struct{ came []float64 }
-
 // Scheduler holds all that one scheduler knows.
 type Scheduler struct {
 	terms    Terms
@@ -395,9 +318,6 @@
 	if !how.NeverRan() && how != Done {
 		p.ran, t.ran = true, true
 	}
-	if how.NeverRan() && len(s.ranked) > 1 {
-		t.turned = w
-	}
 	if closed {
 		s.end(t)
 	}
@@ -724,7 +644,7 @@
 		(s.holds(w)-1)*s.runs.at(0.5, 300) > s.spare(now, t) {
 		return false
 	}
-	return w != t.turned && s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
+	return s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
 
 // mayGo keeps rule 2.
