--- a/balance/balance.go
+++ b/balance/balance.go
@@ -774,8 +774,10 @@
 	}
 	share := s.share(now - w.Start - s.terms.Fall)
 	budget := s.terms.FallTimes * share * s.terms.Fall * s.carries(now, w) * coldPart
-	if s.terms.Peers > 1 {
-		budget /= 2 * float64(k)
+	if s.thin() {
+		budget /= float64(k)
+	} else if s.terms.Peers > 1 {
+		budget /= 2
 	}
 	for _, x := range w.sent {
 		if now-x.at <= s.terms.Fall {
