--- a/balance/balance.go
+++ b/balance/balance.go
@@ -728,7 +728,7 @@
 		return 1, true
 	}
 	at := int(age / s.terms.Fall)
-	each := float64(peers) / float64(max(s.running, 1))
+	each := 2 * float64(peers) / float64(max(s.running, 1))
 	k, most := max(int(each*s.share(float64(at)*s.terms.Fall)), 1), max(int(each), 1)
 	// Each worker's turns begin elsewhere, or one scheduler would have all workers of a deploy at once.
 	place := (s.terms.Me - at*most - int(w.hash%uint32(peers))) % peers
