--- a/balance/balance.go
+++ b/balance/balance.go
@@ -521,6 +521,13 @@
 		return best
 	}
 	band := s.band(len(ranks), t.cost)
+	if s.thin() && len(t.posts) > 0 {
+		for i := range ranks {
+			if w := ranks[(band+i)%len(ranks)]; w.Zone == s.terms.Zone && s.fits(now, t, w) {
+				return w
+			}
+		}
+	}
 	var second *worker
 	for i := range ranks {
 		if w := ranks[(band+i)%len(ranks)]; s.fits(now, t, w) {
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -39,6 +39,7 @@
 type Terms struct {
 	Seed       uint64
 	Me, Peers  int
+	Zone       int
 	Tick       float64
 	Schemes    []SchemeRow
 	Quota      []float64 // txns a second within each tenant's share, by tenant
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -60,6 +60,7 @@
 type facts struct {
 	Me      int     `json:"my_number"`
 	Peers   int     `json:"peers_total"`
+	Zone    int     `json:"zone"`
 	Tick    int64   `json:"tick"`
 	Mode    string  `json:"membership_mode"`
 	Surplus float64 `json:"surplus_gain"`
@@ -105,7 +106,7 @@
 func us(ms float64) int64 { return int64(math.Ceil(ms * 1000)) }
 
 func (f *facts) terms(seed uint64) balance.Terms {
-	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Tick: ms(f.Tick), OverGain: f.Surplus,
+	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Zone: f.Zone, Tick: ms(f.Tick), OverGain: f.Surplus,
 		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
 		Probes:     f.Limits.Probes,
 		LiveWeight: f.Weights == "live",
