--- a/balance/balance.go
+++ b/balance/balance.go
@@ -521,17 +521,11 @@
 		return best
 	}
 	band := s.band(len(ranks), t.cost)
-	if s.thin() && len(t.posts) > 0 {
-		for i := range ranks {
-			if w := ranks[(band+i)%len(ranks)]; w.Zone == s.terms.Zone && s.fits(now, t, w) {
-				return w
-			}
-		}
-	}
+	anywhere := !s.thin() || len(t.posts) == 0 // else own zone first: each crossing costs
 	var second *worker
 	for i := range ranks {
 		if w := ranks[(band+i)%len(ranks)]; s.fits(now, t, w) {
-			if s.sure(w) {
+			if s.sure(w) && (anywhere || w.Zone == s.terms.Zone) {
 				return w
 			}
 			if second == nil {
@@ -975,11 +969,8 @@
 
 // NextProbe decides the next probe: the trial of a worker that stands aside.
 func (s *Scheduler) NextProbe(now float64) (string, bool) {
-	if !s.terms.Probes {
-		return "", false
-	}
 	for _, w := range s.list {
-		if now >= s.probeAt(w) {
+		if s.terms.Probes && now >= s.probeAt(w) {
 			w.probing = true
 			return w.ID, true
 		}
