--- a/balance/balance.go
+++ b/balance/balance.go
@@ -641,7 +641,8 @@
 }
 
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
-	if s.terms.LiveWeight && s.thin() && s.terms.Schemes[t.Scheme].Effect == OnceOnly &&
+	// A queue that outlasts all that a txn can spare is of work that was called off and not dropped.
+	if s.terms.LiveWeight && s.thin() && (t.out > 0 || s.terms.Schemes[t.Scheme].Effect == OnceOnly) &&
 		(s.holds(w)-1)*s.runs.at(0.5, 300) > s.spare(now, t) {
 		return false
 	}
