--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	binsPerDouble = 4      // histogram bins: a band's edge is then off by a fifth of a cost at the most
 	numBins       = 160    // spans 40 doublings, more than any two jobs differ by
 	costsKept     = 500    // long enough that the few heavy costs do not move the edges at each one
-	costsNeeded   = 30     // fewer say little of where the work lies
+	costsNeeded   = 30     // fewer say little of where the work lies; among many a third, as they come slowly
 	rankAfter     = 3      // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0 // about as old as a report gets
 	homes         = 3      // see pickHome
@@ -511,7 +511,7 @@
 	if w := s.left; s.thin() && now-s.leftAt <= s.terms.Tick && slices.Contains(ranks, w) && s.fits(now, t, w) {
 		return w
 	}
-	if len(s.costs) < costsNeeded {
+	if len(s.costs) < costsNeeded && (!s.thin() || len(s.costs) < costsNeeded/3) {
 		var best *worker
 		for _, w := range ranks {
 			if s.fits(now, t, w) && (best == nil || len(w.own) < len(best.own)) {
