--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -262,7 +262,72 @@
 	}
 }
 
-// A killed peer sends no word that its postings are gone; counted for good they would leave its slots idle.
+// With hundreds of schedulers single turns came once in minutes, so that cold workers stood idle in a release.
+func TestAmongManyTurnsAtColdWorkersAreShared(t *testing.T) {
+	terms := plainTerms
+	terms.Peers = 200
+	const start = 1e6
+	mine := func(me int, now float64) bool {
+		terms.Me = me
+		s := started(terms, 20)
+		s.ListChanged(start, false, []Listed{{ID: "fresh", Start: start, Weight: 1}})
+		s.rerank(now)
+		return len(s.turns) == 1
+	}
+	for _, age := range []float64{1, 9000, 19000} {
+		n := 0
+		for me := range terms.Peers {
+			if mine(me, start+age) {
+				n++
+			}
+		}
+		if most := 2 * terms.Peers / 20; n == 0 || n > most {
+			t.Errorf("at age %.0f it is the turn of %d, at most %d may share it", age, n, most)
+		}
+	}
+}
+
+// A once-only txn can't leave a queue: sent into a long one it was called off late, and lost.
+func TestAmongManyOnceOnlyKeepsOutOfLongQueues(t *testing.T) {
+	terms := plainTerms
+	terms.Peers, terms.LiveWeight = 8, true
+	s := started(terms, 3)
+	rows := []Listed{{ID: "w0", Weight: 0.1}, {ID: "w1", Weight: 0.4}, {ID: "w2", Weight: 0.1}}
+	s.ListChanged(1, false, rows)
+	arrive(s, 1, "once", 1, 100)
+	if p := mustPost(t, s, 1); p.Worker != "w1" {
+		t.Error("sent to", p.Worker, "where ten txns are held for each core")
+	}
+}
+
+// Hundreds of peers all ranked by the same messages, seconds old, and spent their CPU on them.
+func TestAmongManyNoMessages(t *testing.T) {
+	terms := plainTerms
+	terms.Messages = true
+	for _, peers := range []int{2, manyPeers} {
+		terms.Peers = peers
+		s := started(terms, 3)
+		arrive(s, 1000, "a", 0, 100)
+		mustPost(t, s, 1000)
+		if _, ok := s.NextMessage(1000); ok != (peers < manyPeers) {
+			t.Errorf("with %d schedulers a message: %v", peers, ok)
+		}
+	}
+}
+
+// A client told to stay away for long came back late, though it had only met three full workers.
+func TestUsedUpPostingsGiveNoLongAdvice(t *testing.T) {
+	terms := plainTerms
+	terms.MaxPosts, terms.MaxStay = 1, 2000
+	s := started(terms, 1)
+	arrive(s, 0, "a", 0, 100)
+	mustPost(t, s, 0)
+	s.Ended(1, "a", 0, Full, false, NoLoad)
+	if f, ok := s.NextFinal(1); !ok || !f.Declined || f.Stay != 0 {
+		t.Error("answer", f, ok)
+	}
+}
+
 // Among very many schedulers a job that lands in a queue that none of them sees would wait there to its end.
 func TestAmongManyUnbegunPostingTriesElsewhere(t *testing.T) {
 	terms := plainTerms
@@ -309,6 +374,7 @@
 	}
 }
 
+// A killed peer sends no word that its postings are gone; counted for good they would leave its slots idle.
 func TestSilentPeersAreForgotten(t *testing.T) {
 	terms := plainTerms
 	terms.Peers, terms.Messages = 2, true
@@ -375,11 +441,12 @@
 
 func newWorld(seed int64) *world {
 	r := rand.New(rand.NewSource(seed))
-	n := 1 + r.Intn(3)
+	n := 1 + r.Intn(manyPeers+3)
 	w := &world{r: r, terms: plainTerms, scheds: make([]*Scheduler, n), seen: make([]map[string]Listed, n),
 		txns: make([]map[string]*owed, n), sent: map[string][]sending{}, now: 1000, slots: 1}
 	w.terms.Peers, w.terms.TellsStart, w.terms.Messages = n, r.Intn(3) > 0, r.Intn(2) > 0
 	w.terms.Copies, w.terms.Probes = r.Intn(2) > 0, r.Intn(2) > 0
+	w.terms.Cancels, w.terms.LiveWeight = r.Intn(3) > 0, r.Intn(2) > 0
 	w.terms.Schemes = slices.Clone(w.terms.Schemes)
 	w.terms.Schemes[2].Group = Group(r.Intn(3))
 	for i := range r.Intn(7) {
@@ -481,8 +548,12 @@
 		if f, ok := s.NextFinal(w.now); ok {
 			w.final(i, f)
 		} else if c, ok := s.NextCancel(w.now); ok {
-			if t := w.txns[i][c.Ref]; t == nil || c.Posting >= len(t.posts) {
-				w.fail("cancel of a posting never made")
+			t := w.txns[i][c.Ref]
+			if t == nil || c.Posting >= len(t.posts) || !w.terms.Cancels {
+				w.fail("cancel of a posting never made, or where none is allowed")
+			} else if p := t.posts[c.Posting]; p.out && w.r.Intn(4) > 0 {
+				p.out, p.ran = false, true
+				s.Ended(w.now, c.Ref, c.Posting, Cancelled, t.final, NoLoad)
 			}
 		} else if p, ok := s.NextPosting(w.now); ok {
 			w.post(i, p)
