--- a/balance/balance.go
+++ b/balance/balance.go
@@ -309,7 +309,7 @@
 	case Full:
 		w.fullAt, w.fullWith = now, w.known()
 	case Cancelled:
-		if !p.begun {
+		if !p.begun && now-p.at > s.prompt(w) {
 			w.fullAt, w.fullWith = now, w.known()
 		}
 	case NoConnect, Reset:
@@ -427,7 +427,7 @@
 
 // ---- the ordinary path: ADUS ----
 
-// held is how many txns a worker holds for each core, as listed some time ago.
+// holds is how many txns a worker holds for each core, as listed some time ago.
 func (s *Scheduler) holds(w *worker) float64 { return s.sizes[w.Kind]/max(w.Weight, 1e-3) - 1 }
 
 // load is what the ranking sorts by: reported free slots, put right by own postings since, else own postings.
