--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,7 +11,7 @@
 //  3. Suspicion: a worker that fails or falls silent stands aside until a cheap trial brings it back.
 //  4. Fresh workers: schedulers take turns by own number, each within its part of the cold budget.
 //  5. Further postings: what never ran goes again, what may have run or waits unbegun as its scheme allows.
-//  6. Overload: told by the oldest wait; then what may still gain goes first, the late is declined or called off.
+//  6. Overload: told by the oldest wait; then what may gain goes first, the late is declined or called off.
 
 import (
 	"cmp"
@@ -260,13 +260,8 @@
 	}
 	p.w.delay.add(now - p.at)
 	s.delays.add(now - p.at)
-	running := 0
-	for _, q := range p.w.own {
-		if q.begun {
-			running++
-		}
-	}
-	p.w.most = max(p.w.most, running)
+	waits := func(q *posting) bool { return !q.begun }
+	p.w.most = max(p.w.most, len(slices.DeleteFunc(slices.Clone(p.w.own), waits)))
 	p.w.fails, p.w.aside = 0, 0
 	if waited {
 		// The slot that came free went to this one, so it is as full as before.
@@ -427,12 +422,18 @@
 
 // ---- the ordinary path: ADUS ----
 
+// listed tells that the list says more of loads than own postings and answers do.
+func (s *Scheduler) listed() bool { return s.terms.LiveWeight && s.thin() }
+
+// queue is how long a worker that holds so many txns for each core keeps a new one waiting.
+func (s *Scheduler) queue(holds float64) float64 { return max(holds-1, 0) * s.runs.at(0.5, 300) }
+
 // holds is how many txns a worker holds for each core, as listed some time ago.
 func (s *Scheduler) holds(w *worker) float64 { return s.sizes[w.Kind]/max(w.Weight, 1e-3) - 1 }
 
 // load is what the ranking sorts by: reported free slots, put right by own postings since, else own postings.
 func (s *Scheduler) load(w *worker) float64 {
-	if s.terms.LiveWeight && s.thin() {
+	if s.listed() {
 		return s.holds(w) // what reports tell with each answer is far older here
 	}
 	if w.free >= 0 {
@@ -571,7 +572,7 @@
 	slices.SortFunc(order[:n], func(a, b *worker) int { return at(a) - at(b) })
 	band := s.band(n, t.cost)
 	near := append(slices.Clone(order[band:n]), order[:band]...)
-	if s.terms.LiveWeight && s.thin() && s.terms.Schemes[t.Scheme].Effect == OnceOnly && !s.crowded(now) {
+	if s.listed() && s.terms.Schemes[t.Scheme].Effect == OnceOnly && !s.crowded(now) {
 		// It can't leave a queue, and a fetch costs less than being called off late.
 		for _, w := range append(near, order[n:]...) {
 			if s.holds(w) < 1 && s.fits(now, t, w) {
@@ -642,8 +643,8 @@
 
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
 	// A queue that outlasts all that a txn can spare is of work that was called off and not dropped.
-	if s.terms.LiveWeight && s.thin() && (t.out > 0 || s.terms.Schemes[t.Scheme].Effect == OnceOnly) &&
-		(s.holds(w)-1)*s.runs.at(0.5, 300) > s.spare(now, t) {
+	if s.listed() && (t.out > 0 || s.terms.Schemes[t.Scheme].Effect == OnceOnly) &&
+		s.queue(s.holds(w)) > s.spare(now, t) {
 		return false
 	}
 	return s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
@@ -723,7 +724,7 @@
 }
 
 // turn tells whether this scheduler is one of those whose turn it is at a cold worker, and how many they are:
-// one, and with more schedulers than workers as many more as it takes to bring the worker its part of the work.
+// one, and among many twice as many as bring the worker its part of the work, since few have a txn that fits.
 func (s *Scheduler) turn(now float64, w *worker) (int, bool) {
 	age, peers := now-w.Start, max(s.terms.Peers, 1)
 	if peers == 1 {
@@ -885,8 +886,8 @@
 			continue
 		}
 		f := Final{Ref: t.Ref, Declined: s.mayDecline(t)}
-		// One whose postings were all turned away may find a slot at once with new ones; longest advice made it late.
-		if f.Declined && (len(t.posts) < s.terms.MaxPosts || s.spare(now, t) < 0) {
+		// One that can still be in time may find a slot at once on its next try; long advice made it late.
+		if f.Declined && s.spare(now, t) <= 0 {
 			f.Stay = s.terms.MaxStay
 		}
 		s.end(t)
@@ -918,6 +919,9 @@
 		}
 	}
 	late := t.due - t.run()
+	if s.listed() && row.Effect == OnceOnly && len(s.ranked) > 0 {
+		late -= s.queue(s.ranked[0].rankLoad) // held for queues that all outlast its time, it is declined anyway
+	}
 	if row.LateGain == 0 || crowded {
 		return min(last, late)
 	}
@@ -926,8 +930,8 @@
 
 // lateAt is when a posting that has not begun is called off, as its txn can no longer earn enough.
 func (s *Scheduler) lateAt(p *posting, crowded bool) float64 {
-	if !s.terms.TellsStart || !s.terms.Cancels || p.off || s.terms.Schemes[p.t.Scheme].LateGain > 0 && !crowded ||
-		slices.ContainsFunc(p.t.posts, func(q *posting) bool { return q.begun && !q.done }) {
+	row := &s.terms.Schemes[p.t.Scheme]
+	if !s.terms.TellsStart || !s.terms.Cancels || p.off || row.LateGain > 0 && !crowded || slices.ContainsFunc(p.t.posts, func(q *posting) bool { return q.begun && !q.done }) {
 		return math.Inf(1)
 	}
 	return p.t.due - p.t.run()
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -262,7 +262,7 @@
 	}
 }
 
-// With hundreds of schedulers single turns came once in minutes, so that cold workers stood idle in a release.
+// With hundreds of schedulers single turns came once in minutes, so cold workers stood idle in a release.
 func TestAmongManyTurnsAtColdWorkersAreShared(t *testing.T) {
 	terms := plainTerms
 	terms.Peers = 200
