--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,44 +42,43 @@
 
 // Scheduler holds all that one scheduler knows.
 type Scheduler struct {
-	terms    Terms
-	draws    uint32
-	born     float64 // when the first list came
-	txns     map[string]*txn
-	held     []*txn     // open txns that want a posting: none is out, or the one that is out is in doubt
-	excess   []*txn     // with more postings out than needed: answered, or one has begun
-	waits    []*posting // those out that have not begun
-	byID     map[string]*worker
-	list     []*worker // those the list names, in its order
-	ranked   []*worker
-	below    [numBins + 1]float64 // work in the histogram below each bin, at the last ranking
-	costs    []uint8
-	costAt   int
-	bins     [numBins]int
-	keys     []uint32 // of the last keyed txns
-	asked    map[uint32]int
-	since    int // completions since the last ranking
-	rankAt   float64
-	sizes    map[int]float64 // the most weight seen, by kind, where weights are lowered by load
-	stale    bool            // the list changed since the last ranking
-	settled  []sending       // the last txns settled
-	runs     samples         // running times
-	left     *worker         // where an own job last ended
-	leftAt   float64
-	turns    []*worker // cold ones at which it is this scheduler's turn
-	running  int       // workers that the list showed as running at the last ranking
-	delays   samples   // times from posting to start
-	tightest float64   // SLA time of any scheme
-	longest  []float64
-	tenants  []tenant
-	pulls    int // postings asked for so far
-	moves    int // postings made or ended so far
-	told     int // moves when peers were last told
-	toldAt   float64
-	heardAt  map[int]float64 // when each peer last told
-	watching bool
-	watchAt  float64
-	watchBad int
+	terms       Terms
+	draws       uint32
+	born        float64 // when the first list came
+	txns        map[string]*txn
+	held        []*txn     // open txns that want a posting: none is out, or the one that is out is in doubt
+	excess      []*txn     // with more postings out than needed: answered, or one has begun
+	waits       []*posting // those out that have not begun
+	byID        map[string]*worker
+	list        []*worker // those the list names, in its order
+	ranked      []*worker
+	below       [numBins + 1]float64 // work in the histogram below each bin, at the last ranking
+	costs       []uint8
+	costAt      int
+	bins        [numBins]int
+	keys        []uint32 // of the last keyed txns
+	asked       map[uint32]int
+	since       int // completions since the last ranking
+	rankAt      float64
+	sizes       map[int]float64 // the most weight seen, by kind, where weights are lowered by load
+	stale       bool            // the list changed since the last ranking
+	settled     []sending       // the last txns settled
+	runs        samples         // running times
+	left        *worker         // where an own job last ended
+	leftAt      float64
+	turns       []*worker // cold ones at which it is this scheduler's turn
+	running     int       // workers that the list showed as running at the last ranking
+	delays      samples   // times from posting to start
+	tightest    float64   // SLA time of any scheme
+	longest     []float64
+	tenants     []tenant
+	pulls       int // postings asked for so far
+	moves, told int // postings made or ended so far, and when peers were last told
+	toldAt      float64
+	heardAt     map[int]float64 // when each peer last told
+	watching    bool
+	watchAt     float64
+	watchBad    int
 }
 
 // New returns a scheduler that knows nothing but its terms.
@@ -762,8 +761,8 @@
 	return max(float64(slots), rate*float64(max(s.terms.Peers, 1))/max(fleet, 1))
 }
 
-// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, and
-// no more than its part of half the budget of the window, since a window may meet two turns.
+// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, up to its
+// part of half the budget of the window; with few, who fill both turns that a window may meet, half of that.
 func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
 	if !s.cold(now, w) {
 		return true
@@ -777,11 +776,10 @@
 	}
 	share := s.share(now - w.Start - s.terms.Fall)
 	budget := s.terms.FallTimes * share * s.terms.Fall * s.carries(now, w) * coldPart
-	if s.thin() {
-		budget /= float64(k)
-	} else if s.terms.Peers > 1 {
+	if !s.thin() && s.terms.Peers > 1 {
 		budget /= 2
 	}
+	budget /= float64(k)
 	for _, x := range w.sent {
 		if now-x.at <= s.terms.Fall {
 			budget -= x.work
@@ -930,8 +928,9 @@
 
 // lateAt is when a posting that has not begun is called off, as its txn can no longer earn enough.
 func (s *Scheduler) lateAt(p *posting, crowded bool) float64 {
-	row := &s.terms.Schemes[p.t.Scheme]
-	if !s.terms.TellsStart || !s.terms.Cancels || p.off || row.LateGain > 0 && !crowded || slices.ContainsFunc(p.t.posts, func(q *posting) bool { return q.begun && !q.done }) {
+	runs := func(q *posting) bool { return q.begun && !q.done }
+	if !s.terms.TellsStart || !s.terms.Cancels || p.off || slices.ContainsFunc(p.t.posts, runs) ||
+		s.terms.Schemes[p.t.Scheme].LateGain > 0 && !crowded {
 		return math.Inf(1)
 	}
 	return p.t.due - p.t.run()
