--- a/balance/balance.go
+++ b/balance/balance.go
@@ -453,7 +453,7 @@
 		if w.State != Running {
 			continue
 		}
-		// A cold worker is ready only in this scheduler's turn. Left to the ranks most of that would pass unused.
+		// A cold worker is ready only in this scheduler's turn.
 		if s.cold(now, w) && s.terms.Peers > 1 {
 			if _, mine := s.turn(now, w); !mine {
 				continue
@@ -498,9 +498,10 @@
 	if kind := s.terms.Schemes[t.Scheme].Kind; kind >= 0 {
 		ranks = slices.DeleteFunc(slices.Clone(ranks), func(w *worker) bool { return w.Kind != kind })
 	}
-	// A turn at a cold worker is short, and left to the ranks most of it would pass unused.
+	// Among many a turn at a cold worker meets few txns, and left to the ranks most of it would pass unused.
 	for _, w := range s.turns {
-		if t.run() < s.share(now-w.Start)*(t.due-now) && slices.Contains(ranks, w) && s.fits(now, t, w) {
+		inTime := t.run() < s.share(now-w.Start)*(t.due-now)
+		if s.thin() && inTime && slices.Contains(ranks, w) && s.fits(now, t, w) {
 			return w
 		}
 	}
@@ -738,7 +739,7 @@
 }
 
 // carries estimates what a warm worker of the same size carries at the least, in jobs running at once: the
-// most own ones seen together, or the even part of all that schedulers like this one lately had settled.
+// most own ones seen together, or among many the even part of what schedulers like this one had settled.
 func (s *Scheduler) carries(now float64, w *worker) float64 {
 	slots, fleet, work := 1, 0.0, 0.0
 	for _, o := range s.list {
@@ -751,7 +752,7 @@
 			fleet++
 		}
 	}
-	if len(s.settled) < samplesKept {
+	if !s.thin() || len(s.settled) < samplesKept {
 		return float64(slots)
 	}
 	for _, x := range s.settled {
@@ -761,8 +762,8 @@
 	return max(float64(slots), rate*float64(max(s.terms.Peers, 1))/max(fleet, 1))
 }
 
-// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, up to its
-// part of half the budget of the window; with few, who fill both turns that a window may meet, half of that.
+// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, up to
+// its part of half the budget of the window; with few, who fill both turns a window may meet, half of that.
 func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
 	if !s.cold(now, w) {
 		return true
@@ -986,8 +987,7 @@
 	at := math.Inf(1)
 	if w.State != Running || w.probing {
 		return at
-	}
-	if w.fails > 0 {
+	} else if w.fails > 0 {
 		return w.aside
 	}
 	for _, p := range w.own {
