--- a/balance/balance.go
+++ b/balance/balance.go
@@ -631,11 +631,11 @@
 // best sent to try for a slot, and tried elsewhere where it does not start.
 func (s *Scheduler) thin() bool { return s.terms.Peers >= manyPeers }
 
-// tryAt is when a posting that has not begun is taken to wait in a queue, so that its txn may try elsewhere.
+// tryAt is when a posting that has not begun is taken to wait in a queue, so its txn may try elsewhere. One
+// with a key may not: its copies fetched it, at the cost of others' keys, and some ran though called off.
 func (s *Scheduler) tryAt(p *posting) float64 {
-	row := &s.terms.Schemes[p.t.Scheme]
-	if !s.thin() || !s.terms.TellsStart || !s.terms.Copies || !s.terms.Cancels || row.Effect == OnceOnly ||
-		p.off || len(p.t.posts) >= s.terms.MaxPosts {
+	if !s.thin() || !s.terms.TellsStart || !s.terms.Copies || !s.terms.Cancels || p.off || p.t.Key != "" ||
+		s.terms.Schemes[p.t.Scheme].Effect == OnceOnly || len(p.t.posts) >= s.terms.MaxPosts {
 		return math.Inf(1)
 	}
 	return p.at + s.prompt(p.w)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -349,6 +349,12 @@
 	if p, ok := s.NextPosting(500); ok {
 		t.Fatal("a once-only txn went again:", p)
 	}
+	keyed := started(terms, 8)
+	keyed.Arrived(0, Txn{Ref: "k", Key: "k", Hint: 100, Slots: 1, Left: 20000})
+	mustPost(t, keyed, 0)
+	if p, ok := keyed.NextPosting(500); ok {
+		t.Fatal("a txn that needs a key went again:", p)
+	}
 	s.Started(510, "a", 1)
 	if c, ok := s.NextCancel(510); !ok || c != (Cancel{"a", 0}) {
 		t.Fatal("the copy that waits still is not called off:", c, ok)
