--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,7 @@
 	rankAfter     = 3      // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0 // about as old as a report gets
 	homes         = 3      // see pickHome
-	waitLeast     = 3      // see waiting: with fewer one lost posting would stop a scheduler among many
+	waitLeast     = 3      // see waiting: with fewer one lost posting would stop a scheduler
 	tellEvery     = 33.0   // for each peer: a few messages a job at the most, as a job runs far longer
 	shareOver     = 4000.0 // short, as clients come in bursts, yet a dozen txns of most tenants
 	asideFirst    = 500.0  // then twice as long each time: a restart takes seconds, a slip less
@@ -615,7 +615,7 @@
 
 func (s *Scheduler) patience() float64 { return 3*s.delays.at(0.5, 100) + 2*s.runs.at(0.5, 300) }
 
-// waiting counts own postings that wait at workers. With many schedulers the one that each lets wait at a
+// waiting counts own postings that wait at workers. With a few schedulers the one that each lets wait at a
 // worker makes a queue that none of them sees, so each keeps to its even part of what may wait in all.
 func (s *Scheduler) waiting(now float64) int {
 	n := 0
