--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -12,6 +12,7 @@
 	"strconv"
 
 	"shalebeam/balance"
+	"shalebeam/startup"
 )
 
 type batch struct {
@@ -28,7 +29,7 @@
 	head
 	Ref       json.RawMessage    `json:"ref"`
 	Seed      uint64             `json:"init_seed"`
-	Facts     *facts             `json:"facts"`
+	Facts     json.RawMessage    `json:"facts"`
 	Scope     string             `json:"scope"`
 	Elements  []element          `json:"elements"`
 	Hint      int64              `json:"work_hint"`
@@ -57,101 +58,9 @@
 	DC        int     `json:"dc"`
 }
 
-type facts struct {
-	Me      int     `json:"my_number"`
-	Peers   int     `json:"peers_total"`
-	Zone    int     `json:"zone"`
-	Tick    int64   `json:"tick"`
-	Mode    string  `json:"membership_mode"`
-	Surplus float64 `json:"surplus_gain"`
-	Weights string  `json:"weights"`
-	Schemes []struct {
-		Effect   string   `json:"effect"`
-		Scope    string   `json:"key_scope"`
-		Window   int64    `json:"window"`
-		SLA      int64    `json:"sla_time"`
-		Aim      *float64 `json:"aim_stretch"`
-		Expiry   int64    `json:"expiry"`
-		Gain     float64  `json:"gain"`
-		LateGain float64  `json:"tardy_gain"`
-	} `json:"schemes"`
-	Orgs []struct {
-		Quota float64 `json:"quota_per_s"`
-	} `json:"orgs"`
-	Domain struct {
-		Kind    []int     `json:"class_kind"`
-		Stretch []float64 `json:"class_stretch"`
-		Starts  bool      `json:"tells_start"`
-		X0      string    `json:"report_x0"`
-	} `json:"domain"`
-	Limits struct {
-		Posts  int   `json:"max_postings"`
-		Copies bool  `json:"parallel_tries"`
-		Cancel bool  `json:"cancel"`
-		Stay   int64 `json:"max_retry_after"`
-		Advice bool  `json:"retry_after"`
-		Peers  bool  `json:"peers"`
-		Probes bool  `json:"probes"`
-	} `json:"policy_limits"`
-	Rules struct {
-		ColdFrom  float64 `json:"cold_from"`
-		Cold      int64   `json:"cold"`
-		Fall      int64   `json:"fall"`
-		FallTimes float64 `json:"fall_multiple"`
-		AskIn     int64   `json:"must_ask_in"`
-	} `json:"guarantees"`
-}
-
 func ms(us int64) float64 { return float64(us) / 1000 }
 func us(ms float64) int64 { return int64(math.Ceil(ms * 1000)) }
 
-func (f *facts) terms(seed uint64) balance.Terms {
-	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Zone: f.Zone, Tick: ms(f.Tick), OverGain: f.Surplus,
-		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
-		Probes:     f.Limits.Probes,
-		LiveWeight: f.Weights == "live",
-		MustAsk:    f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
-		ColdFrom: f.Rules.ColdFrom, ColdFor: ms(f.Rules.Cold), Fall: ms(f.Rules.Fall), FallTimes: f.Rules.FallTimes}
-	if t.MaxPosts <= 0 {
-		t.MaxPosts = math.MaxInt
-	}
-	if f.Limits.Advice {
-		t.MaxStay = ms(f.Limits.Stay)
-	}
-	for i, c := range f.Schemes {
-		row := balance.SchemeRow{Window: ms(c.Window), SLA: ms(c.SLA), Expiry: ms(c.Expiry), Gain: c.Gain,
-			LateGain: c.LateGain, Kind: -1}
-		// An effect that is not known is taken for the strictest.
-		row.Effect = balance.OnceOnly
-		switch c.Effect {
-		case "retryable":
-			row.Effect = balance.Repeatable
-		case "dedup":
-			row.Effect = balance.Referenced
-		}
-		row.Group = balance.GroupCell
-		switch c.Scope {
-		case "all":
-			row.Group = balance.GroupAll
-		case "zone":
-			row.Group = balance.GroupZone
-		}
-		if i < len(f.Domain.Kind) {
-			row.Kind = f.Domain.Kind[i]
-		}
-		if i < len(f.Domain.Stretch) {
-			row.Stretch = f.Domain.Stretch[i]
-		} else if c.Aim != nil {
-			row.Stretch = *c.Aim
-		}
-		t.Schemes = append(t.Schemes, row)
-	}
-	for _, o := range f.Orgs {
-		t.Quota = append(t.Quota, o.Quota)
-	}
-	return t
-}
-
 var states = map[string]balance.State{"Running": balance.Running, "Stopping": balance.Draining,
 	"Deleted": balance.Removed}
 
@@ -200,8 +109,11 @@
 			if m.Facts == nil {
 				return nil, fmt.Errorf("spawn without facts")
 			}
-			in = &instance{id: m.Inst, sched: balance.New(m.Facts.terms(m.Seed)), timer: math.Inf(1),
-				free: m.Facts.Domain.X0 == "free slots"}
+			told, err := startup.Decode(m.Facts, m.Seed)
+			if err != nil {
+				return nil, fmt.Errorf("spawn: %w", err)
+			}
+			in = &instance{id: m.Inst, sched: balance.New(told.Terms), timer: math.Inf(1), free: told.FreeSlots}
 			l.insts[m.Inst] = in
 		case "stop":
 			delete(l.insts, m.Inst)
--- /dev/null
+++ b/cmd/shalebeam/main.go
@@ -0,0 +1,63 @@
+// Command shalebeam is one scheduler on sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"shalebeam/scheduler"
+)
+
+type file struct {
+	Path string `name:"config" env:"BALANCER_CONFIG" help:"The file that tells the scheduler of its machine." placeholder:"FILE"`
+}
+
+type serve struct{ file }
+
+func (c *serve) Run() error {
+	n, err := scheduler.Load(c.Path)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return scheduler.New(n, log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)).Run(ctx)
+}
+
+type check struct{ file }
+
+func (c *check) Run() error {
+	n, err := scheduler.Load(c.Path)
+	if err == nil {
+		fmt.Printf("%s: ok, name=%s listen=%s\n", c.Path, n.Name, n.Listen)
+	}
+	return err
+}
+
+type version struct{}
+
+func (version) Run() error {
+	v := "unknown"
+	if b, ok := debug.ReadBuildInfo(); ok {
+		v = b.Main.Version
+	}
+	_, err := fmt.Println("shalebeam", v)
+	return err
+}
+
+func main() {
+	var cli struct {
+		Serve   serve   `cmd:"" help:"Serve until SIGTERM, then answer all and exit."`
+		Check   check   `cmd:"" help:"Check a configuration and exit."`
+		Version version `cmd:"" help:"Print the version."`
+	}
+	k := kong.Parse(&cli, kong.Name("shalebeam"), kong.Description("A scheduler that pushes txns to workers."))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/scheduler/clients.go
@@ -0,0 +1,365 @@
+package scheduler
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"shalebeam/balance"
+	"shalebeam/http1"
+)
+
+const (
+	headMost = 16 << 10
+	bodyMost = 64 << 10
+	// gnet keeps one ring buffer a direction as long as what waits there fits: a message does.
+	readCap  = 64 << 10
+	writeCap = 128 << 10
+	refMost  = 128
+
+	requestFor = 10000.0 // from a request's first byte to its last
+	idleFor    = 60000.0
+	writeFor   = 10000.0 // for a client to take its answer
+	lingerFor  = 1000.0  // for a client to read an answer before the connection is gone
+)
+
+// ask is what a request said: the module's part, and what goes on to workers unchanged.
+type ask struct {
+	txn          balance.Txn
+	method, path string
+	host, mark   string
+	kind         string // Content-Type
+	body         []byte
+}
+
+// clients holds the connections that clients have made.
+type clients struct {
+	s    *Scheduler
+	all  []*client
+	most int
+}
+
+// client is one such connection. It carries one request at a time.
+type client struct {
+	s     *Scheduler
+	conn  gnet.Conn // nil once it is closed
+	at    int       // its place in all
+	req   http1.Request
+	t     *txn    // the one that its answer is owed for
+	since float64 // when its present state began
+	begun bool    // part of a request has come
+	last  bool    // the connection ends after this answer
+	ends  bool    // the last answer is being written
+	shut  bool    // it was written, and no more goes out
+}
+
+var requestLimits = http1.Limits{Head: headMost, Body: bodyMost}
+
+func (cs *clients) init(s *Scheduler) {
+	cs.s = s
+	cs.most = s.sockets() - ownSockets - s.lanesMost() - dialsMost
+}
+
+// sockets is how many descriptors the process may hold.
+func (s *Scheduler) sockets() int {
+	if n := s.node.Limits.Sockets; n > 0 {
+		return n
+	}
+	return socketsUntold
+}
+
+func (cs *clients) accept(conn gnet.Conn) {
+	c := &client{s: cs.s, conn: conn, at: len(cs.all), since: cs.s.now()}
+	c.req.Reset(requestLimits)
+	conn.SetContext(c)
+	cs.all = append(cs.all, c)
+	if len(cs.all) <= cs.most {
+		return
+	}
+	// Out of descriptors gnet's loop ends. A connection between two requests may be closed, so the one idle
+	// longest goes; where all are busy the new one does.
+	out := c
+	for _, o := range cs.all {
+		if o != c && o.idle() && (out == c || o.since < out.since) {
+			out = o
+		}
+	}
+	out.close()
+}
+
+// busy tells whether any answer is owed or not yet written.
+func (cs *clients) busy() bool {
+	for _, c := range cs.all {
+		if c.t != nil || c.begun || c.conn.OutboundBuffered() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *client) idle() bool {
+	return c.t == nil && !c.begun && !c.ends && c.conn.OutboundBuffered() == 0
+}
+
+func (c *client) close() {
+	if c.conn != nil {
+		_ = c.s.loop.Close(c.conn)
+	}
+}
+
+func (c *client) opened(gnet.Conn) {}
+
+func (c *client) closed(gnet.Conn, error) {
+	cs := &c.s.clients
+	end := len(cs.all) - 1
+	cs.all[c.at] = cs.all[end]
+	cs.all[c.at].at = c.at
+	cs.all = cs.all[:end]
+	c.conn = nil
+	if t := c.t; t != nil {
+		c.t = nil
+		c.s.drive.gone(t)
+	}
+}
+
+func (c *client) traffic(gnet.Conn) {
+	for c.conn != nil && c.t == nil && !c.ends {
+		buf, _ := c.conn.Peek(-1)
+		if len(buf) == 0 {
+			return
+		}
+		if !c.begun {
+			c.begun, c.since = true, c.s.now()
+		}
+		before := c.req.HeadDone()
+		n, err := c.req.Feed(buf)
+		if n > 0 {
+			_, _ = c.conn.Discard(n)
+		}
+		if e, ok := err.(*http1.Error); ok {
+			c.last = true
+			c.answer(e.Status, e.Reason+"\n", -1)
+			return
+		}
+		if !c.req.Done() {
+			if c.req.HeadDone() && !before && c.req.Fields().Has("expect", "100-continue") {
+				_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+			return
+		}
+		c.serve()
+	}
+	if c.conn == nil {
+		return
+	}
+	if c.ends {
+		_, _ = c.conn.Discard(-1)
+	} else if c.conn.InboundBuffered() > headMost+bodyMost {
+		c.close() // it sends on and on and reads no answer
+	}
+}
+
+// serve takes a request that has come whole.
+func (c *client) serve() {
+	c.last = c.req.Close() || c.s.phase == draining
+	path, _, _ := strings.Cut(c.req.Target, "?")
+	if path == "/_health" {
+		switch {
+		case c.req.Method != "GET" && c.req.Method != "HEAD":
+			c.answer(405, "GET only\n", -1)
+		case c.s.phase != serving:
+			c.answer(503, c.s.phase.String()+"\n", -1)
+		default:
+			c.answer(200, "serving\n", -1)
+		}
+		return
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	scheme := -1
+	for i, name := range c.s.node.told.Schemes {
+		if name == first {
+			scheme = i
+		}
+	}
+	if scheme < 0 {
+		c.answer(404, "no such scheme\n", -1)
+		return
+	}
+	if c.req.Method != "POST" {
+		c.answer(405, "POST only\n", -1)
+		return
+	}
+	a, wrong := c.read(scheme)
+	if wrong != "" {
+		c.answer(400, wrong+"\n", -1)
+		return
+	}
+	if c.s.drive.txns[a.txn.Ref] != nil {
+		c.answer(409, "Request-Id is in use\n", -1)
+		return
+	}
+	c.t = c.s.drive.arrive(c, a)
+}
+
+// read makes a txn of the request's fields.
+func (c *client) read(scheme int) (a ask, wrong string) {
+	f := c.req.Fields()
+	get := func(name string) string {
+		v, _ := f.Get(name)
+		return v
+	}
+	row := &c.s.node.told.Terms.Schemes[scheme]
+	a = ask{method: c.req.Method, path: c.req.Target, host: get("host"), mark: get("idempotency-key"),
+		kind: get("content-type"), body: c.req.Body()}
+	a.txn = balance.Txn{Ref: get("request-id"), Scheme: scheme, Key: cookie(get("cookie"), "sid"), Hint: -1,
+		Left: row.Expiry, Repeat: get("client-retry") == "1"}
+	if a.txn.Ref == "" || len(a.txn.Ref) > refMost {
+		return a, "Request-Id is missing or too long"
+	}
+	if v, ok := f.Get("request-timeout"); ok {
+		left, ok := span(v)
+		if !ok {
+			return a, "bad Request-Timeout"
+		}
+		a.txn.Left = left
+	}
+	if v, ok := f.Get("work-hint"); ok {
+		us, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(us >= 0) || math.IsInf(us, 0) {
+			return a, "bad Work-Hint"
+		}
+		a.txn.Hint = us / 1000
+	}
+	for pair := range strings.SplitSeq(get("request-info"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0) || x > math.MaxInt32 {
+			continue // free-form: what cannot be read says nothing
+		}
+		switch name {
+		case "slots", "cores_needed":
+			a.txn.Slots = x
+		case "tenant", "org":
+			a.txn.Tenant = int(x)
+		}
+	}
+	return a, ""
+}
+
+// span reads a number with its unit, m for milliseconds or u for microseconds.
+func span(v string) (float64, bool) {
+	if v == "" {
+		return 0, false
+	}
+	x, err := strconv.ParseFloat(v[:len(v)-1], 64)
+	if err != nil || !(x >= 0) || math.IsInf(x, 0) {
+		return 0, false
+	}
+	switch v[len(v)-1] {
+	case 'm':
+		return x, true
+	case 'u':
+		return x / 1000, true
+	}
+	return 0, false
+}
+
+func cookie(all, name string) string {
+	for pair := range strings.SplitSeq(all, ";") {
+		if k, v, ok := strings.Cut(strings.TrimSpace(pair), "="); ok && k == name {
+			return v
+		}
+	}
+	return ""
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+	501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+
+// answer writes the one answer to the request at hand and goes on to the next. stay is how long the client
+// should keep away, in milliseconds, where it is above 0.
+func (c *client) answer(status int, body string, stay float64) {
+	if c == nil || c.conn == nil {
+		return
+	}
+	c.last = c.last || c.s.phase == draining
+	b := make([]byte, 0, 160+len(body))
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(append(b, ' '), reasons[status]...)
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	switch status {
+	case 200:
+	case 405:
+		b = append(b, "\r\nAllow: GET, POST\r\nContent-Type: text/plain"...)
+	default:
+		b = append(b, "\r\nContent-Type: text/plain"...)
+	}
+	if stay > 0 {
+		b = append(b, "\r\nRetry-After: "...)
+		b = strconv.AppendFloat(b, stay/1000, 'f', -1, 64)
+	}
+	if c.last {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(b, "\r\n\r\n"...)
+	if c.req.Method != "HEAD" {
+		b = append(b, body...)
+	}
+	c.t = nil
+	c.since, c.begun, c.ends = c.s.now(), false, c.last
+	c.req.Reset(requestLimits)
+	if _, err := c.conn.Write(b); err != nil || c.conn == nil {
+		return
+	}
+	if c.ends {
+		c.finish()
+	} else if c.conn.InboundBuffered() > 0 {
+		c.traffic(c.conn)
+	}
+}
+
+// finish ends a connection after its last answer: closed at once with bytes unread, it would be reset, and the
+// client could lose the answer.
+func (c *client) finish() {
+	if !c.shut && c.conn.OutboundBuffered() == 0 {
+		c.shut, c.since = true, c.s.now()
+		_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
+	}
+}
+
+// sweep ends connections that are idle or slow.
+func (cs *clients) sweep(now float64) {
+	for i := len(cs.all) - 1; i >= 0; i-- {
+		if i >= len(cs.all) {
+			continue
+		}
+		c := cs.all[i]
+		age := now - c.since
+		switch {
+		case c.shut:
+			if age > lingerFor {
+				c.close()
+			}
+		case c.conn.OutboundBuffered() > 0:
+			if age > writeFor && c.t == nil {
+				c.close()
+			}
+		case c.ends:
+			c.finish()
+		case c.t != nil:
+		case c.begun:
+			if age > requestFor {
+				c.last = true
+				c.answer(408, "request too slow\n", -1)
+			}
+		case age > idleFor || cs.s.phase == draining:
+			c.close()
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/drive.go
@@ -0,0 +1,216 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"shalebeam/balance"
+)
+
+// txn is a request that was taken, until it is answered and all its postings have ended.
+type txn struct {
+	ref   string
+	ask   ask
+	from  *client // nil once it is answered or the client has left
+	until float64
+	posts []*posting
+	out   int
+	over  bool
+}
+
+// posting is one that the module asked for.
+type posting struct {
+	t     *txn
+	no    int
+	lane  *lane // nil once it has ended
+	until float64
+}
+
+// drive holds the module, tells it what happens, and carries out what it decides.
+type drive struct {
+	s       *Scheduler
+	mod     *balance.Scheduler
+	txns    map[string]*txn
+	open    []*txn // the same in the order they came
+	pulling bool
+	timer   *time.Timer
+	stopAt  float64
+	sweepAt float64
+}
+
+// sweepEvery is how often idle and slow connections are looked over: their limits are seconds.
+const sweepEvery = 100.0
+
+func (d *drive) init(s *Scheduler, mod *balance.Scheduler) {
+	*d = drive{s: s, mod: mod, txns: map[string]*txn{}, stopAt: math.Inf(1)}
+}
+
+// arrive takes a request that came whole.
+func (d *drive) arrive(from *client, a ask) *txn {
+	now := d.s.now()
+	left := min(a.txn.Left, d.stopAt-now)
+	t := &txn{ref: a.txn.Ref, ask: a, from: from, until: now + left}
+	d.txns[t.ref] = t
+	d.open = append(d.open, t)
+	a.txn.Left = left
+	d.mod.Arrived(now, a.txn)
+	return t
+}
+
+// gone tells that a client closed its connection before its answer.
+func (d *drive) gone(t *txn) {
+	t.from = nil
+	if !t.over {
+		t.over = true
+		d.mod.Gone(d.s.now(), t.ref)
+		d.forget(t)
+	}
+}
+
+func (d *drive) forget(t *txn) {
+	if t.over && t.out == 0 && d.txns[t.ref] == t {
+		delete(d.txns, t.ref)
+		d.open = slices.DeleteFunc(d.open, func(o *txn) bool { return o == t })
+	}
+}
+
+// started tells that a worker has begun a posting.
+func (d *drive) started(p *posting) { d.mod.Started(d.s.now(), p.t.ref, p.no) }
+
+// ended tells how a posting ended, and settles its txn with the first result.
+func (d *drive) ended(p *posting, how balance.Outcome, result string) {
+	p.lane = nil
+	t := p.t
+	t.out--
+	if how == balance.Done && !t.over {
+		t.over = true
+		t.from.answer(200, result, -1)
+	}
+	d.mod.Ended(d.s.now(), t.ref, p.no, how, t.over, balance.NoLoad)
+	d.forget(t)
+}
+
+// shorten ends all txns by a time at which this scheduler stops.
+func (d *drive) shorten(by float64) {
+	d.stopAt = by
+	for _, t := range d.open {
+		t.until = min(t.until, by)
+		for _, p := range t.posts {
+			p.until = min(p.until, by)
+		}
+	}
+}
+
+// pull carries out what the module decides until there is nothing left. What happens meanwhile, as when a
+// write fails, is told to the module in between.
+func (d *drive) pull() {
+	if d.pulling {
+		return
+	}
+	d.pulling = true
+	now := d.s.now()
+	d.expire(now)
+	if now >= d.sweepAt {
+		d.sweepAt = now + sweepEvery
+		d.s.clients.sweep(now)
+		d.s.pool.sweep(now)
+		d.s.roster.sweep(now)
+	}
+	for d.step(now) {
+		now = d.s.now()
+	}
+	d.s.settle(now)
+	d.pulling = false
+	d.arm(now)
+}
+
+func (d *drive) step(now float64) bool {
+	if f, ok := d.mod.NextFinal(now); ok {
+		if t := d.txns[f.Ref]; t != nil && !t.over {
+			t.over = true
+			if f.Declined {
+				t.from.answer(503, "declined\n", f.Stay)
+			} else {
+				t.from.answer(502, "reversed\n", -1)
+			}
+			d.forget(t)
+		}
+		return true
+	}
+	if c, ok := d.mod.NextCancel(now); ok {
+		if t := d.txns[c.Ref]; t != nil && c.Posting < len(t.posts) {
+			d.drop(t.posts[c.Posting], balance.Cancelled)
+		}
+		return true
+	}
+	if p, ok := d.mod.NextPosting(now); ok {
+		if t := d.txns[p.Ref]; t != nil {
+			d.post(now, t, p)
+		}
+		return true
+	}
+	if id, ok := d.mod.NextProbe(now); ok {
+		d.s.pool.probe(id)
+		return true
+	}
+	if body, ok := d.mod.NextMessage(now); ok {
+		d.s.peers.tell(body)
+		return true
+	}
+	if d.mod.NextWatch(now) {
+		d.s.roster.ask()
+		return true
+	}
+	return false
+}
+
+func (d *drive) post(now float64, t *txn, p balance.Post) {
+	x := &posting{t: t, no: len(t.posts), until: t.until}
+	if p.Timeout > 0 {
+		x.until = min(x.until, now+p.Timeout)
+	}
+	t.posts = append(t.posts, x)
+	t.out++
+	d.s.pool.post(x, p.Worker)
+}
+
+// drop gives up a posting. One whose request was not written whole cannot have run.
+func (d *drive) drop(p *posting, how balance.Outcome) {
+	if p.lane == nil {
+		return
+	}
+	if !p.lane.abandon() {
+		how = balance.NeverSent
+	}
+	d.ended(p, how, "")
+}
+
+// expire ends the postings whose time is over.
+func (d *drive) expire(now float64) {
+	for _, t := range slices.Clone(d.open) {
+		for _, p := range t.posts {
+			if p.lane != nil && now >= p.until {
+				d.drop(p, balance.TimedOut)
+			}
+		}
+	}
+}
+
+// arm sets the one timer for the module's next wake-up, or for what has to end sooner.
+func (d *drive) arm(now float64) {
+	at := min(d.mod.Wake(now), d.sweepAt)
+	for _, t := range d.open {
+		for _, p := range t.posts {
+			if p.lane != nil {
+				at = min(at, p.until)
+			}
+		}
+	}
+	wait := time.Duration(math.Ceil(max(at-now, 0) * float64(time.Millisecond)))
+	if d.timer == nil {
+		d.timer = time.AfterFunc(wait, func() { d.s.onLoop(func() {}) })
+	} else {
+		d.timer.Reset(wait)
+	}
+}
--- /dev/null
+++ b/scheduler/node.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"shalebeam/startup"
+)
+
+// Node is what one scheduler is told of its machine and its deployment.
+type Node struct {
+	Name       string   `json:"name"`
+	Listen     string   `json:"listen"`
+	Discovery  string   `json:"discovery"`
+	Seed       string   `json:"seed"`
+	Limits     Limits   `json:"limits"`
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"`     // of each scheduler, by number
+	PeersAll   string   `json:"peers_all"` // reaches all of them
+	// Known is the list of workers as this scheduler last had it.
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	told startup.Told
+}
+
+// Limits is how much of its machine the program may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Load reads and checks the file that tells a scheduler of its machine.
+func Load(path string) (*Node, error) {
+	if path == "" {
+		return nil, fmt.Errorf("no configuration file is named")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{}
+	if err := json.Unmarshal(raw, n); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := n.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return n, nil
+}
+
+func (n *Node) check() error {
+	if n.Name == "" {
+		return fmt.Errorf("name is missing")
+	}
+	for _, a := range []struct {
+		name, addr string
+		must       bool
+	}{{"listen", n.Listen, true}, {"discovery", n.Discovery, true}, {"peer_listen", n.PeerListen, false},
+		{"peers_all", n.PeersAll, false}} {
+		if a.addr == "" && !a.must {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return fmt.Errorf("%s: %q is not an address with a port", a.name, a.addr)
+		}
+	}
+	for i, a := range n.Peers {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return fmt.Errorf("peers[%d]: %q is not an address with a port", i, a)
+		}
+	}
+	seed, err := strconv.ParseUint(n.Seed, 16, 64)
+	if err != nil {
+		return fmt.Errorf("seed: %q is not a number of up to 16 hex digits", n.Seed)
+	}
+	if n.Limits.Cores < 0 || n.Limits.MemoryMB < 0 || n.Limits.Sockets < 0 {
+		return fmt.Errorf("limits: a limit is below 0")
+	}
+	if n.Limits.Sockets > 0 && n.Limits.Sockets < fewestSockets {
+		return fmt.Errorf("limits: sockets is %d, and %d are the fewest to serve with", n.Limits.Sockets,
+			fewestSockets)
+	}
+	if len(n.Settings) == 0 {
+		return fmt.Errorf("settings is missing")
+	}
+	if n.told, err = startup.Decode(n.Settings, seed); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for i, name := range n.told.Schemes {
+		if name == "" || seen[name] {
+			return fmt.Errorf("settings: schemes[%d]: name is missing or repeated", i)
+		}
+		seen[name] = true
+	}
+	if n.told.Dial <= 0 {
+		n.told.Dial = dialUntold
+	}
+	if n.told.Idle <= 0 {
+		n.told.Idle = idleUntold
+	}
+	// On sockets the list never comes by itself.
+	n.told.Terms.MustAsk = true
+	if n.told.Terms.AskIn <= 0 {
+		n.told.Terms.AskIn = askUntold
+	}
+	if n.PeerListen == "" || n.PeersAll == "" {
+		n.told.Terms.Messages = false
+	}
+	return nil
+}
+
+const (
+	fewestSockets = 64
+	socketsUntold = 1024
+	dialUntold    = 1000.0
+	idleUntold    = 10000.0
+	askUntold     = 10000.0
+)
--- /dev/null
+++ b/scheduler/phases.go
@@ -0,0 +1,273 @@
+// Package scheduler is a scheduler on sockets: it takes txns from clients over HTTP, posts them to workers and
+// answers. Every choice of where and when is balance's; this package only carries out what it decides. All of
+// it runs on one event loop, which owns the module and all state, so there are no locks. It has a file a job:
+// phases (this one), clients, pool (connections to workers), roster (discovery), peers (datagrams among
+// schedulers) and drive, which pulls the module's decisions.
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	errorx "github.com/panjf2000/gnet/v2/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"shalebeam/balance"
+)
+
+type phase int
+
+const (
+	starting phase = iota
+	serving
+	draining // told to stop: what still comes is taken, and all is answered
+	stopped
+)
+
+func (p phase) String() string { return [...]string{"starting", "serving", "draining", "stopped"}[p] }
+
+const (
+	// A planned stop has this long from its signal at the most, or as long as the longest expiry if that is less.
+	drainMost = 3000.0
+	// Connections still come for a while after the signal: the front learns of it late.
+	drainLeast = 700.0
+	// How long the last answers may take to be written out.
+	flushFor = 300.0
+)
+
+// Scheduler is one scheduler on sockets.
+type Scheduler struct {
+	gnet.BuiltinEventEngine
+	node *Node
+	log  *log.Logger
+
+	phase   phase
+	eng     gnet.Engine
+	loop    gnet.EventLoop
+	first   net.Conn // see OnBoot
+	err     error
+	ready   chan struct{} // closed once there is a loop
+	origin  time.Time
+	wall    float64 // at origin, Unix time in milliseconds
+	drainBy float64
+	drained float64 // when the drain began
+
+	clients clients
+	pool    pool
+	roster  roster
+	peers   peers
+	drive   drive
+}
+
+// New returns a scheduler for this node, which logs its phases and faults.
+func New(n *Node, l *log.Logger) *Scheduler {
+	s := &Scheduler{node: n, log: l, ready: make(chan struct{}), origin: time.Now()}
+	s.wall = float64(s.origin.UnixNano()) / 1e6
+	s.drive.init(s, balance.New(n.told.Terms))
+	s.clients.init(s)
+	s.pool.init(s)
+	s.roster.init(s)
+	s.peers.init(s)
+	return s
+}
+
+// now is the wall clock's time at the start, moved on by the monotonic clock: workers' starts are told in wall
+// time, yet no span may change when that clock is set.
+func (s *Scheduler) now() float64 {
+	return s.wall + float64(time.Since(s.origin))/float64(time.Millisecond)
+}
+
+// Run serves until ctx is done and what was taken is answered.
+func (s *Scheduler) Run(ctx context.Context) error {
+	lim := s.node.Limits
+	if lim.Cores > 0 {
+		runtime.GOMAXPROCS(max(int(math.Ceil(lim.Cores)), 1))
+	}
+	if lim.MemoryMB > 0 {
+		// The collector works harder from here on, before the platform's limit kills the process.
+		debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 3 / 4)
+	}
+	stop := context.AfterFunc(ctx, func() { s.onLoop(s.drain) })
+	defer stop()
+	addrs := []string{"tcp://" + s.node.Listen}
+	if s.node.PeerListen != "" {
+		addrs = append(addrs, "udp://"+s.node.PeerListen)
+	}
+	// SO_REUSEPORT makes gnet accept on the loop itself, without a second one for that. It also lets a second
+	// program share the address unnoticed, so that is tried first.
+	if l, err := net.Listen("tcp", s.node.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	} else if err := l.Close(); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	err := gnet.Rotate(s, addrs, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
+		gnet.WithReadBufferCap(readCap), gnet.WithWriteBufferCap(writeCap), gnet.WithLogger(quiet{s.log}))
+	if s.err != nil {
+		return s.err
+	}
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return nil
+}
+
+// onLoop runs f on the event loop, from any goroutine. Once the loop has ended there is nothing left to do.
+func (s *Scheduler) onLoop(f func()) {
+	<-s.ready
+	_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		f()
+		if s.pull() == gnet.Shutdown {
+			return errorx.ErrEngineShutdown
+		}
+		return nil
+	}))
+}
+
+func (s *Scheduler) enter(p phase) {
+	s.log.Printf("msg=phase from=%s to=%s", s.phase, p)
+	s.phase = p
+}
+
+// OnBoot comes when the listeners are bound. gnet shows its loop only through a connection, so the scheduler
+// makes the first one itself.
+func (s *Scheduler) OnBoot(eng gnet.Engine) gnet.Action {
+	s.eng = eng
+	addr, err := s.bound("tcp", s.node.Listen)
+	if err == nil {
+		s.first, err = net.DialTimeout("tcp", addr, time.Second)
+	}
+	if err == nil {
+		err = s.peers.open()
+	}
+	if err != nil {
+		s.err = fmt.Errorf("start: %w", err)
+		return gnet.Shutdown
+	}
+	s.log.Printf("msg=listening name=%s addr=%s", s.node.Name, addr)
+	return gnet.None
+}
+
+// bound is the address that a listener got, which tells the port where it was to be any.
+func (s *Scheduler) bound(network, addr string) (string, error) {
+	fd, err := s.eng.DupListener(network, addr)
+	if err != nil {
+		return "", fmt.Errorf("%s %s: %w", network, addr, err)
+	}
+	defer unix.Close(fd)
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		return "", fmt.Errorf("%s %s: %w", network, addr, err)
+	}
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String(), nil
+	case *unix.SockaddrInet6:
+		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String(), nil
+	}
+	return addr, nil
+}
+
+// begin starts serving, on the loop.
+func (s *Scheduler) begin(loop gnet.EventLoop) {
+	s.loop = loop
+	close(s.ready)
+	s.first.Close()
+	s.roster.begin()
+	s.enter(serving)
+}
+
+// drain begins a planned stop. The module hears of the end, as each txn then has less time than its expiry.
+func (s *Scheduler) drain() {
+	if s.phase >= draining {
+		return
+	}
+	s.enter(draining)
+	most := 0.0
+	for _, row := range s.node.told.Terms.Schemes {
+		most = max(most, row.Expiry)
+	}
+	s.drained = s.now()
+	s.drainBy = s.drained + max(min(most, drainMost), drainLeast)
+	s.drive.shorten(s.drainBy)
+}
+
+// settle ends a drain once all is answered and written, or its time is over.
+func (s *Scheduler) settle(now float64) {
+	if s.phase != draining || now < s.drained+drainLeast {
+		return
+	}
+	if len(s.drive.open) == 0 && !s.clients.busy() || now >= s.drainBy+flushFor {
+		s.enter(stopped)
+	}
+}
+
+// pull carries out what the module decides after an event, and ends the loop once all is done.
+func (s *Scheduler) pull() gnet.Action {
+	if s.phase != stopped {
+		s.drive.pull()
+	}
+	if s.phase == stopped {
+		return gnet.Shutdown
+	}
+	return gnet.None
+}
+
+// connection is what the loop's callbacks are for: a client's, a worker's or discovery's.
+type connection interface {
+	opened(gnet.Conn)
+	traffic(gnet.Conn)
+	closed(gnet.Conn, error)
+}
+
+// OnOpen takes a connection that was accepted, or dialled by the pool or the roster.
+func (s *Scheduler) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if s.phase == starting {
+		s.begin(c.EventLoop())
+	}
+	if x, ok := c.Context().(connection); ok {
+		x.opened(c)
+	} else {
+		s.clients.accept(c)
+	}
+	return nil, s.pull()
+}
+
+// OnTraffic takes bytes or a datagram.
+func (s *Scheduler) OnTraffic(c gnet.Conn) gnet.Action {
+	if x, ok := c.Context().(connection); ok {
+		x.traffic(c)
+	} else {
+		s.peers.hear(c)
+	}
+	return s.pull()
+}
+
+// OnClose takes the end of a connection, by either side.
+func (s *Scheduler) OnClose(c gnet.Conn, err error) gnet.Action {
+	if x, ok := c.Context().(connection); ok {
+		x.closed(c, err)
+	}
+	return s.pull()
+}
+
+// quiet passes on only what gnet warns of.
+type quiet struct{ log *log.Logger }
+
+func (quiet) Debugf(string, ...any) {}
+func (quiet) Infof(string, ...any)  {}
+func (q quiet) Warnf(f string, a ...any) {
+	q.log.Printf("msg=gnet level=warn text=%q", fmt.Sprintf(f, a...))
+}
+func (q quiet) Errorf(f string, a ...any) {
+	q.log.Printf("msg=gnet level=error text=%q", fmt.Sprintf(f, a...))
+}
+func (q quiet) Fatalf(f string, a ...any) {
+	q.log.Fatalf("msg=gnet level=fatal text=%q", fmt.Sprintf(f, a...))
+}
--- /dev/null
+++ b/scheduler/pool.go
@@ -0,0 +1,395 @@
+package scheduler
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"shalebeam/balance"
+	"shalebeam/http1"
+)
+
+const (
+	ownSockets = 32  // standard streams, pollers, listeners, discovery, and some to spare
+	dialsMost  = 64  // while it is made a connection holds two descriptors
+	idlePart   = 0.5 // of the time after which a worker closes an idle connection, and a posting there is lost
+	tailFor    = 1000.0
+	streamMost = 1 << 20 // of notes and result of one posting
+)
+
+var responseLimits = http1.Limits{Head: headMost, Body: streamMost}
+
+// lanesMost leaves two thirds of the descriptors to clients: at most workers a connection waits for nothing.
+func (s *Scheduler) lanesMost() int { return (s.sockets() - ownSockets) / 3 }
+
+// pool holds the connections to workers.
+type pool struct {
+	s       *Scheduler
+	targets map[string]*target
+	lanes   []*lane
+	dials   int
+	most    int
+}
+
+// target is a worker as its connections know it.
+type target struct {
+	id, addr string
+	idle     []*lane // the one used last at the end
+}
+
+type laneState int
+
+const (
+	dialling laneState = iota
+	idle
+	busy
+	tail // the result has come, the end of the response has not
+)
+
+// lane is one connection to a worker. It carries one posting or probe at a time.
+type lane struct {
+	s       *Scheduler
+	to      *target
+	conn    gnet.Conn
+	state   laneState
+	p       *posting
+	probing bool
+	resp    http1.Response
+	since   float64
+	writing bool
+	until   float64 // of a probe
+}
+
+func (o *pool) init(s *Scheduler) {
+	*o = pool{s: s, targets: map[string]*target{}, most: s.lanesMost()}
+}
+
+// know takes a worker's address from the list. Where it changed, idle connections lead to the old one.
+func (o *pool) know(id, addr string) {
+	t := o.targets[id]
+	if t == nil {
+		o.targets[id] = &target{id: id, addr: addr}
+	} else if t.addr != addr {
+		t.addr = addr
+		o.leave(id)
+	}
+}
+
+// leave closes the idle connections to a worker.
+func (o *pool) leave(id string) {
+	if t := o.targets[id]; t != nil {
+		for len(t.idle) > 0 {
+			t.idle[0].close()
+		}
+	}
+}
+
+// take finds an idle connection to a worker, or begins a new one. At a bound there is none.
+func (o *pool) take(id string) *lane {
+	t := o.targets[id]
+	if t == nil {
+		return nil
+	}
+	now := o.s.now()
+	for n := len(t.idle); n > 0; n = len(t.idle) {
+		l := t.idle[n-1]
+		if now-l.since <= idlePart*o.s.node.told.Idle {
+			t.idle = t.idle[:n-1]
+			return l
+		}
+		l.close()
+	}
+	if len(o.lanes) >= o.most {
+		var oldest *lane
+		for _, l := range o.lanes {
+			if l.state == idle && (oldest == nil || l.since < oldest.since) {
+				oldest = l
+			}
+		}
+		if oldest == nil {
+			return nil
+		}
+		oldest.close()
+	}
+	if o.dials >= dialsMost {
+		return nil
+	}
+	l := &lane{s: o.s, to: t}
+	o.lanes = append(o.lanes, l)
+	o.dials++
+	o.s.dial(t.addr, l, func(error) {
+		o.dials--
+		o.drop(l)
+		l.end(balance.NoConnect)
+	})
+	return l
+}
+
+func (o *pool) drop(l *lane) {
+	o.lanes = slices.DeleteFunc(o.lanes, func(x *lane) bool { return x == l })
+	l.to.idle = slices.DeleteFunc(l.to.idle, func(x *lane) bool { return x == l })
+}
+
+// dial makes a connection off the loop and brings it there, where opened or failed is called. One that never
+// comes up ends with the settings' time for that, and holds up no other.
+func (s *Scheduler) dial(addr string, x connection, failed func(error)) {
+	d := net.Dialer{Timeout: time.Duration(s.node.told.Dial * float64(time.Millisecond)), KeepAlive: -1}
+	go func() {
+		c, err := d.Dial("tcp", addr)
+		if err == nil {
+			var up <-chan gnet.RegisteredResult
+			if up, err = s.loop.Enroll(gnet.NewContext(context.Background(), x), c); err == nil {
+				err = (<-up).Err
+			}
+		}
+		if err != nil {
+			s.onLoop(func() { failed(err) })
+		}
+	}()
+}
+
+func (o *pool) post(p *posting, id string) {
+	l := o.take(id)
+	if l == nil {
+		// No connection can be had, so none was made: the module takes it for a worker to leave alone for a while.
+		o.s.drive.ended(p, balance.NoConnect, "")
+		return
+	}
+	p.lane, l.p = l, p
+	if l.state == idle {
+		l.send()
+	}
+}
+
+func (o *pool) probe(id string) {
+	l := o.take(id)
+	if l == nil {
+		o.s.drive.mod.Probed(o.s.now(), id, balance.NoConnect, balance.NoLoad)
+		return
+	}
+	// A probe finds out whether a worker answers at all: twice the time for a connection tells that it does not.
+	l.probing, l.until = true, o.s.now()+2*o.s.node.told.Dial
+	if l.state == idle {
+		l.send()
+	}
+}
+
+func (l *lane) opened(c gnet.Conn) {
+	l.s.pool.dials--
+	l.conn = c
+	l.rest()
+	if l.p != nil || l.probing {
+		l.to.idle = slices.DeleteFunc(l.to.idle, func(x *lane) bool { return x == l })
+		l.send()
+	}
+}
+
+// rest makes the connection an idle one.
+func (l *lane) rest() {
+	l.state, l.since = idle, l.s.now()
+	if l.s.pool.targets[l.to.id] != l.to {
+		l.close()
+		return
+	}
+	l.to.idle = append(l.to.idle, l)
+}
+
+// send writes the request. Nothing is ever sent again without the module asking for it.
+func (l *lane) send() {
+	l.state = busy
+	l.resp.Reset(responseLimits)
+	var b []byte
+	if l.p == nil {
+		b = append(b, "GET /ping HTTP/1.1\r\nHost: "+l.to.addr+"\r\n\r\n"...)
+	} else {
+		a := &l.p.t.ask
+		b = make([]byte, 0, 512+len(a.body))
+		b = append(b, a.method+" "+a.path+" HTTP/1.1\r\nHost: "+a.host+"\r\nRequest-Id: "+a.txn.Ref...)
+		if a.mark != "" {
+			b = append(b, "\r\nIdempotency-Key: "+a.mark...)
+		}
+		if a.kind != "" {
+			b = append(b, "\r\nContent-Type: "+a.kind...)
+		}
+		b = append(b, "\r\nRequest-Timeout: "...)
+		b = strconv.AppendInt(b, max(int64(l.p.until-l.s.now()), 1), 10)
+		b = append(b, "m\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(a.body)), 10)
+		b = append(append(b, "\r\n\r\n"...), a.body...)
+	}
+	l.writing = true
+	_, _ = l.conn.Write(b) // where it fails gnet has closed the connection, and closed has told
+	l.writing = false
+}
+
+// abandon gives up the posting, and tells whether its request may have been written whole.
+func (l *lane) abandon() bool {
+	l.p = nil
+	if l.state == dialling {
+		return false // the connection is of use to another posting
+	}
+	whole := l.conn.OutboundBuffered() == 0
+	l.close()
+	return whole
+}
+
+func (l *lane) close() {
+	if l.conn != nil {
+		_ = l.s.loop.Close(l.conn)
+	}
+}
+
+func (l *lane) closed(c gnet.Conn, _ error) {
+	short := l.writing || c.OutboundBuffered() > 0
+	if short {
+		// gnet writes what it still holds after this call, and a posting that never went out whole must not be
+		// made whole by that.
+		_ = unix.Shutdown(c.Fd(), unix.SHUT_RDWR)
+	}
+	l.conn = nil
+	l.s.pool.drop(l)
+	switch {
+	case short:
+		l.end(balance.NoConnect)
+	case l.resp.End() && l.resp.Status != 0:
+		l.end(l.status())
+	default:
+		l.end(balance.Reset)
+	}
+}
+
+// end tells how the posting or probe ended, if one is on the connection.
+func (l *lane) end(how balance.Outcome) { l.finish(how, "") }
+
+func (l *lane) finish(how balance.Outcome, result string) {
+	if p := l.p; p != nil {
+		l.p = nil
+		l.s.drive.ended(p, how, result)
+	}
+	if l.probing {
+		l.probing = false
+		l.s.drive.mod.Probed(l.s.now(), l.to.id, how, balance.NoLoad)
+	}
+}
+
+// status is the outcome that a whole response without a last line tells.
+func (l *lane) status() balance.Outcome {
+	mark, _ := l.resp.Fields().Get("not-started")
+	switch s := l.resp.Status; {
+	case s == 200 && l.probing:
+		return balance.Done
+	case s == 200:
+		return balance.Reset // it ended before its last line
+	case l.probing && s == 503, (s == 503 || s == 504) && mark == "1":
+		return balance.Full
+	}
+	return balance.Erred
+}
+
+func (l *lane) traffic(gnet.Conn) {
+	for l.conn != nil {
+		buf, _ := l.conn.Peek(-1)
+		if len(buf) == 0 {
+			return
+		}
+		if l.state == idle {
+			l.close() // nothing was asked for
+			return
+		}
+		n, err := l.resp.Feed(buf)
+		if n > 0 {
+			_, _ = l.conn.Discard(n)
+		}
+		if err == nil && l.p != nil && l.resp.HeadDone() && l.resp.Status == 200 {
+			err = l.notes()
+		}
+		if err != nil {
+			l.s.log.Printf("msg=malformed from=worker id=%s err=%q", l.to.id, err)
+			l.close()
+			return
+		}
+		if l.resp.Done() {
+			l.end(l.status())
+			if l.conn == nil {
+				return
+			}
+			if !l.resp.Reusable() || l.s.phase >= draining {
+				l.close()
+				return
+			}
+			l.rest()
+		} else if n == 0 {
+			return
+		}
+	}
+}
+
+// note is one line of a worker's answer.
+type note struct {
+	ID     string `json:"id"`
+	State  string `json:"state"`
+	Result string `json:"result"`
+}
+
+// notes reads the lines that have come.
+func (l *lane) notes() error {
+	for l.p != nil {
+		body := l.resp.Body()
+		i := bytes.IndexByte(body, '\n')
+		if i < 0 && l.resp.Done() {
+			i = len(body)
+		}
+		if i < 0 || len(body) == 0 {
+			return nil
+		}
+		var n note
+		if text := bytes.TrimSpace(body[:i]); len(text) > 0 {
+			if err := json.Unmarshal(text, &n); err != nil {
+				return err
+			}
+			if n.ID != l.p.t.ref {
+				return &http1.Error{Status: 502, Reason: "a note of another request"}
+			}
+		}
+		l.resp.Take(min(i+1, len(body)))
+		switch n.State {
+		case "started":
+			l.s.drive.started(l.p)
+		case "done":
+			l.last(balance.Done, n.Result)
+		case "failed":
+			l.last(balance.Erred, "")
+		case "returned":
+			l.last(balance.Full, "")
+		case "lost":
+			l.last(balance.Reset, "")
+		}
+	}
+	return nil
+}
+
+func (l *lane) last(how balance.Outcome, result string) {
+	l.state, l.since = tail, l.s.now()
+	l.finish(how, result)
+}
+
+// sweep closes connections that have been idle for long, and ends probes that get no answer.
+func (o *pool) sweep(now float64) {
+	for _, l := range slices.Clone(o.lanes) {
+		switch {
+		case l.probing && now >= l.until:
+			l.end(balance.TimedOut)
+			l.close()
+		case l.state == idle && now-l.since > idlePart*o.s.node.told.Idle,
+			l.state == tail && now-l.since > tailFor:
+			l.close()
+		}
+	}
+}
--- /dev/null
+++ b/startup/startup.go
@@ -0,0 +1,138 @@
+// Package startup decodes the settings that a scheduler is given at its start, on the bench and on sockets.
+package startup
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"shalebeam/balance"
+)
+
+// Told is what the settings say: the module's terms, and what only a host has to know.
+type Told struct {
+	Terms     balance.Terms
+	Schemes   []string // names, in the order of the terms
+	Zones     []string
+	Kinds     []string
+	FreeSlots bool    // the load report's x0 is free slots here
+	Idle      float64 // a worker closes a connection that stood idle for so long
+	Dial      float64 // a connection that is not up by then never comes
+}
+
+type facts struct {
+	Me      int      `json:"my_number"`
+	Peers   int      `json:"peers_total"`
+	Zone    int      `json:"zone"`
+	Tick    int64    `json:"tick"`
+	Mode    string   `json:"membership_mode"`
+	Surplus float64  `json:"surplus_gain"`
+	Weights string   `json:"weights"`
+	Zones   []string `json:"zones"`
+	Kinds   []string `json:"kinds"`
+	Schemes []struct {
+		Name     string   `json:"name"`
+		Effect   string   `json:"effect"`
+		Scope    string   `json:"key_scope"`
+		Window   int64    `json:"window"`
+		SLA      int64    `json:"sla_time"`
+		Aim      *float64 `json:"aim_stretch"`
+		Expiry   int64    `json:"expiry"`
+		Gain     float64  `json:"gain"`
+		LateGain float64  `json:"tardy_gain"`
+	} `json:"schemes"`
+	Orgs []struct {
+		Quota float64 `json:"quota_per_s"`
+	} `json:"orgs"`
+	Domain struct {
+		Kind    []int     `json:"class_kind"`
+		Stretch []float64 `json:"class_stretch"`
+		Starts  bool      `json:"tells_start"`
+		X0      string    `json:"report_x0"`
+	} `json:"domain"`
+	Limits struct {
+		Posts  int   `json:"max_postings"`
+		Copies bool  `json:"parallel_tries"`
+		Cancel bool  `json:"cancel"`
+		Stay   int64 `json:"max_retry_after"`
+		Advice bool  `json:"retry_after"`
+		Peers  bool  `json:"peers"`
+		Probes bool  `json:"probes"`
+		Idle   int64 `json:"conn_idle"`
+		Dial   int64 `json:"connect_timeout"`
+	} `json:"policy_limits"`
+	Rules struct {
+		ColdFrom  float64 `json:"cold_from"`
+		Cold      int64   `json:"cold"`
+		Fall      int64   `json:"fall"`
+		FallTimes float64 `json:"fall_multiple"`
+		AskIn     int64   `json:"must_ask_in"`
+	} `json:"guarantees"`
+}
+
+// Decode reads the settings object. What it does not know it passes over.
+func Decode(raw []byte, seed uint64) (Told, error) {
+	var f facts
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Told{}, fmt.Errorf("settings: %w", err)
+	}
+	if len(f.Schemes) == 0 {
+		return Told{}, fmt.Errorf("settings: schemes is missing or empty")
+	}
+	t := Told{Terms: f.terms(seed), Zones: f.Zones, Kinds: f.Kinds, FreeSlots: f.Domain.X0 == "free slots",
+		Idle: ms(f.Limits.Idle), Dial: ms(f.Limits.Dial)}
+	for _, c := range f.Schemes {
+		t.Schemes = append(t.Schemes, c.Name)
+	}
+	return t, nil
+}
+
+func ms(us int64) float64 { return float64(us) / 1000 }
+
+// terms makes of it what the module is told.
+func (f *facts) terms(seed uint64) balance.Terms {
+	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Zone: f.Zone, Tick: ms(f.Tick), OverGain: f.Surplus,
+		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
+		Probes:     f.Limits.Probes,
+		LiveWeight: f.Weights == "live",
+		MustAsk:    f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
+		ColdFrom: f.Rules.ColdFrom, ColdFor: ms(f.Rules.Cold), Fall: ms(f.Rules.Fall), FallTimes: f.Rules.FallTimes}
+	if t.MaxPosts <= 0 {
+		t.MaxPosts = math.MaxInt
+	}
+	if f.Limits.Advice {
+		t.MaxStay = ms(f.Limits.Stay)
+	}
+	for i, c := range f.Schemes {
+		row := balance.SchemeRow{Window: ms(c.Window), SLA: ms(c.SLA), Expiry: ms(c.Expiry), Gain: c.Gain,
+			LateGain: c.LateGain, Kind: -1}
+		// An effect that is not known is taken for the strictest.
+		row.Effect = balance.OnceOnly
+		switch c.Effect {
+		case "retryable":
+			row.Effect = balance.Repeatable
+		case "dedup":
+			row.Effect = balance.Referenced
+		}
+		row.Group = balance.GroupCell
+		switch c.Scope {
+		case "all":
+			row.Group = balance.GroupAll
+		case "zone":
+			row.Group = balance.GroupZone
+		}
+		if i < len(f.Domain.Kind) {
+			row.Kind = f.Domain.Kind[i]
+		}
+		if i < len(f.Domain.Stretch) {
+			row.Stretch = f.Domain.Stretch[i]
+		} else if c.Aim != nil {
+			row.Stretch = *c.Aim
+		}
+		t.Schemes = append(t.Schemes, row)
+	}
+	for _, o := range f.Orgs {
+		t.Quota = append(t.Quota, o.Quota)
+	}
+	return t
+}
