--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,9 +1,9 @@
 package balance
 
 // One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Started, Ended, Gone,
-// ListChanged, Watched, Probed, Heard: they only update what is known), then pulls decisions, one a call,
-// until none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls again
-// at Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, band,
+// ListChanged, Watched, Probed, Heard, Stops: they only update what is known), then pulls decisions, one a
+// call, until none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls
+// again at Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, band,
 // pick. The list is followed as it is told (NextWatch where it has to be asked for). Beside these stand six
 // mechanisms, some in another form among many schedulers (see thin):
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
@@ -259,8 +259,7 @@
 	}
 	p.w.delay.add(now - p.at)
 	s.delays.add(now - p.at)
-	waits := func(q *posting) bool { return !q.begun }
-	p.w.most = max(p.w.most, len(slices.DeleteFunc(slices.Clone(p.w.own), waits)))
+	p.w.most = max(p.w.most, len(slices.DeleteFunc(slices.Clone(p.w.own), unbegun)))
 	p.w.fails, p.w.aside = 0, 0
 	if waited {
 		// The slot that came free went to this one, so it is as full as before.
@@ -268,6 +267,8 @@
 	}
 }
 
+func unbegun(p *posting) bool { return !p.begun }
+
 func (s *Scheduler) unwait(p *posting) {
 	s.waits = slices.DeleteFunc(s.waits, func(q *posting) bool { return q == p })
 }
@@ -406,6 +407,14 @@
 	}
 }
 
+// Stops tells that this scheduler ends by a time, before which it owes all its answers: a txn that waited for
+// its own expiry would be lost with it. The host lets no later txn have longer.
+func (s *Scheduler) Stops(by float64) {
+	for _, t := range s.txns {
+		t.until = min(t.until, by)
+	}
+}
+
 func (s *Scheduler) end(t *txn) {
 	if t.over {
 		return
@@ -678,12 +687,8 @@
 	if w.known() >= s.limit(w) {
 		return false
 	}
-	if s.terms.TellsStart {
-		for _, p := range w.own {
-			if !p.begun {
-				return false
-			}
-		}
+	if s.terms.TellsStart && slices.ContainsFunc(w.own, unbegun) {
+		return false
 	}
 	return w.known() < w.fullWith || now >= w.fullAt+s.fullFor()
 }
@@ -797,17 +802,13 @@
 
 // crowded tells overload: the oldest held txn has waited beyond the tightest SLA time.
 func (s *Scheduler) crowded(now float64) bool {
-	for _, t := range s.held {
-		if t.out == 0 && now-t.came > s.tightest {
-			return true
-		}
-	}
-	for _, p := range s.waits {
-		if s.thin() && s.terms.TellsStart && now-p.t.came > s.tightest {
-			return true // held by a worker's queue, as own postings do not tell where there is room
-		}
+	old := func(t *txn) bool { return now-t.came > s.tightest }
+	if slices.ContainsFunc(s.held, func(t *txn) bool { return t.out == 0 && old(t) }) {
+		return true
 	}
-	return false
+	// Among many, work is held by workers' queues too, as own postings do not tell where there is room.
+	late := func(p *posting) bool { return old(p.t) }
+	return s.thin() && s.terms.TellsStart && slices.ContainsFunc(s.waits, late)
 }
 
 // order tells which held txn goes first: the sooner due, unless it is crowded, when going by due times makes
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -381,6 +381,27 @@
 }
 
 // A killed peer sends no word that its postings are gone; counted for good they would leave its slots idle.
+func TestStoppingSchedulerAnswersBeforeItsEnd(t *testing.T) {
+	s := started(plainTerms, 1)
+	arrive(s, 0, "out", 1, 15000)
+	mustPost(t, s, 0)
+	arrive(s, 0, "held", 0, 100)
+	s.Stops(3000)
+	if at := s.Wake(10); at > 3000 {
+		t.Errorf("it wakes at %.0f, after the end", at)
+	}
+	if f, ok := s.NextFinal(2999); !ok || f.Ref != "held" || !f.Declined {
+		t.Errorf("before the end: %v %v", f, ok)
+	}
+	s.Ended(3000, "out", 0, TimedOut, false, NoLoad)
+	if f, ok := s.NextFinal(3000); !ok || f.Ref != "out" || f.Declined {
+		t.Errorf("a once-only txn that may have run: %v %v", f, ok)
+	}
+	if p, ok := s.NextPosting(3000); ok {
+		t.Errorf("posted at the end: %v", p)
+	}
+}
+
 func TestSilentPeersAreForgotten(t *testing.T) {
 	terms := plainTerms
 	terms.Peers, terms.Messages = 2, true
--- a/cmd/shalebeam/main.go
+++ b/cmd/shalebeam/main.go
@@ -16,7 +16,7 @@
 )
 
 type file struct {
-	Path string `name:"config" env:"BALANCER_CONFIG" help:"The file that tells the scheduler of its machine." placeholder:"FILE"`
+	Path string `name:"config" env:"BALANCER_CONFIG" placeholder:"FILE" help:"What the scheduler is told."`
 }
 
 type serve struct{ file }
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -325,7 +325,8 @@
 
 func (r *Request) first(text string) error {
 	part := strings.Split(text, " ")
-	if len(part) != 3 || !token(part[0]) || part[1] == "" || part[1][0] != '/' && part[1] != "*" {
+	if len(part) != 3 || !token(part[0]) || part[1] == "" || part[1][0] != '/' && part[1] != "*" ||
+		strings.ContainsRune(part[1], '\t') {
 		return bad("bad request line")
 	}
 	r.Method, r.Target = part[0], part[1]
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -19,6 +19,8 @@
 	readCap  = 64 << 10
 	writeCap = 128 << 10
 	refMost  = 128
+	// Connections taken beyond the bound only to be told so: what they bring may have been written already.
+	spareClients = 16
 
 	requestFor = 10000.0 // from a request's first byte to its last
 	idleFor    = 60000.0
@@ -50,17 +52,20 @@
 	req   http1.Request
 	t     *txn    // the one that its answer is owed for
 	since float64 // when its present state began
+	used  bool    // it had an answer
+	full  bool    // taken beyond the bound: its request is declined at once
 	begun bool    // part of a request has come
 	last  bool    // the connection ends after this answer
 	ends  bool    // the last answer is being written
-	shut  bool    // it was written, and no more goes out
+	rude  bool    // bytes of it are left unread
+	shut  bool    // the answer was written, and no more goes out
 }
 
 var requestLimits = http1.Limits{Head: headMost, Body: bodyMost}
 
 func (cs *clients) init(s *Scheduler) {
 	cs.s = s
-	cs.most = s.sockets() - ownSockets - s.lanesMost() - dialsMost
+	cs.most = s.sockets() - ownSockets - s.lanesMost() - s.dialsMost() - spareClients
 }
 
 // sockets is how many descriptors the process may hold.
@@ -79,15 +84,23 @@
 	if len(cs.all) <= cs.most {
 		return
 	}
-	// Out of descriptors gnet's loop ends. A connection between two requests may be closed, so the one idle
-	// longest goes; where all are busy the new one does.
-	out := c
+	// Out of descriptors gnet's loop would end. A connection between two requests may be closed, so the one
+	// idle longest goes.
+	var out *client
 	for _, o := range cs.all {
-		if o != c && o.idle() && (out == c || o.since < out.since) {
+		if o.idle() && (out == nil || o.since < out.since) {
 			out = o
 		}
 	}
-	out.close()
+	switch {
+	case out != nil:
+		out.close()
+	case len(cs.all) <= cs.most+spareClients:
+		c.full = true
+	default:
+		cs.s.log.Printf("msg=bound of=clients count=%d", len(cs.all))
+		c.close()
+	}
 }
 
 // busy tells whether any answer is owed or not yet written.
@@ -100,8 +113,10 @@
 	return false
 }
 
+// idle tells whether it stands between two requests. Before the first its request may be on its way, and a
+// client that made it only for that would take it for lost.
 func (c *client) idle() bool {
-	return c.t == nil && !c.begun && !c.ends && c.conn.OutboundBuffered() == 0
+	return c.used && c.t == nil && !c.begun && !c.ends && c.conn.OutboundBuffered() == 0
 }
 
 func (c *client) close() {
@@ -140,7 +155,7 @@
 			_, _ = c.conn.Discard(n)
 		}
 		if e, ok := err.(*http1.Error); ok {
-			c.last = true
+			c.last, c.rude = true, true
 			c.answer(e.Status, e.Reason+"\n", -1)
 			return
 		}
@@ -188,6 +203,11 @@
 		c.answer(404, "no such scheme\n", -1)
 		return
 	}
+	if c.full {
+		c.last = true
+		c.answer(503, "all connections are busy\n", -1)
+		return
+	}
 	if c.req.Method != "POST" {
 		c.answer(405, "POST only\n", -1)
 		return
@@ -224,7 +244,8 @@
 		if !ok {
 			return a, "bad Request-Timeout"
 		}
-		a.txn.Left = left
+		// Longer than its scheme's expiry no client waits; the module measures what is left against that.
+		a.txn.Left = min(left, row.Expiry)
 	}
 	if v, ok := f.Get("work-hint"); ok {
 		us, err := strconv.ParseFloat(v, 64)
@@ -312,7 +333,7 @@
 		b = append(b, body...)
 	}
 	c.t = nil
-	c.since, c.begun, c.ends = c.s.now(), false, c.last
+	c.since, c.begun, c.used, c.ends = c.s.now(), false, true, c.last
 	c.req.Reset(requestLimits)
 	if _, err := c.conn.Write(b); err != nil || c.conn == nil {
 		return
@@ -324,13 +345,18 @@
 	}
 }
 
-// finish ends a connection after its last answer: closed at once with bytes unread, it would be reset, and the
+// finish ends a connection after its last answer. Closed at once with bytes unread it would be reset, and the
 // client could lose the answer.
 func (c *client) finish() {
-	if !c.shut && c.conn.OutboundBuffered() == 0 {
-		c.shut, c.since = true, c.s.now()
-		_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
+	if c.conn.OutboundBuffered() > 0 {
+		return
+	}
+	if !c.rude {
+		c.close()
+		return
 	}
+	c.shut, c.since = true, c.s.now()
+	_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
 }
 
 // sweep ends connections that are idle or slow.
@@ -355,10 +381,10 @@
 		case c.t != nil:
 		case c.begun:
 			if age > requestFor {
-				c.last = true
+				c.last, c.rude = true, true
 				c.answer(408, "request too slow\n", -1)
 			}
-		case age > idleFor || cs.s.phase == draining:
+		case age > idleFor || cs.s.phase == draining && c.used:
 			c.close()
 		}
 	}
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -100,6 +100,7 @@
 			p.until = min(p.until, by)
 		}
 	}
+	d.mod.Stops(by)
 }
 
 // pull carries out what the module decides until there is nothing left. What happens meanwhile, as when a
--- a/scheduler/node.go
+++ b/scheduler/node.go
@@ -10,7 +10,7 @@
 	"shalebeam/startup"
 )
 
-// Node is what one scheduler is told of its machine and its deployment.
+// Node is what one scheduler is told of its machine and its deployment. It comes from Load or Parse.
 type Node struct {
 	Name       string   `json:"name"`
 	Listen     string   `json:"listen"`
@@ -43,12 +43,21 @@
 	if err != nil {
 		return nil, err
 	}
+	n, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return n, nil
+}
+
+// Parse checks what such a file holds.
+func Parse(raw []byte) (*Node, error) {
 	n := &Node{}
 	if err := json.Unmarshal(raw, n); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
 	if err := n.check(); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
 	return n, nil
 }
@@ -91,6 +100,10 @@
 	if n.told, err = startup.Decode(n.Settings, seed); err != nil {
 		return err
 	}
+	if t := &n.told.Terms; t.Messages && n.PeerListen != "" && (len(n.Peers) != t.Peers || t.Me >= t.Peers) {
+		return fmt.Errorf("peers: there are %d, and the settings tell of number %d of %d",
+			len(n.Peers), t.Me, t.Peers)
+	}
 	seen := map[string]bool{}
 	for i, name := range n.told.Schemes {
 		if name == "" || seen[name] {
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -1,8 +1,8 @@
-// Package scheduler is a scheduler on sockets: it takes txns from clients over HTTP, posts them to workers and
-// answers. Every choice of where and when is balance's; this package only carries out what it decides. All of
-// it runs on one event loop, which owns the module and all state, so there are no locks. It has a file a job:
-// phases (this one), clients, pool (connections to workers), roster (discovery), peers (datagrams among
-// schedulers) and drive, which pulls the module's decisions.
+// Package scheduler is a scheduler on sockets: it takes txns from clients over HTTP, posts them to workers
+// and answers. Every choice of where and when is balance's; this package only carries out what it decides.
+// All of it runs on one event loop, which owns the module and all state, so there are no locks. It has a file
+// a job: node (what a scheduler is told), phases (this one), clients, pool (connections to workers), roster
+// (discovery), peers (datagrams among schedulers) and drive, which pulls the module's decisions.
 package scheduler
 
 import (
@@ -34,7 +34,7 @@
 func (p phase) String() string { return [...]string{"starting", "serving", "draining", "stopped"}[p] }
 
 const (
-	// A planned stop has this long from its signal at the most, or as long as the longest expiry if that is less.
+	// A planned stop has this long from its signal at the most, or as long as the longest expiry if less.
 	drainMost = 3000.0
 	// Connections still come for a while after the signal: the front learns of it late.
 	drainLeast = 700.0
@@ -78,8 +78,8 @@
 	return s
 }
 
-// now is the wall clock's time at the start, moved on by the monotonic clock: workers' starts are told in wall
-// time, yet no span may change when that clock is set.
+// now is the wall clock's time at the start, moved on by the monotonic clock: workers' starts are told in
+// wall time, yet no span may change when that clock is set.
 func (s *Scheduler) now() float64 {
 	return s.wall + float64(time.Since(s.origin))/float64(time.Millisecond)
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -18,10 +19,9 @@
 
 const (
 	ownSockets = 32  // standard streams, pollers, listeners, discovery, and some to spare
-	dialsMost  = 64  // while it is made a connection holds two descriptors
 	idlePart   = 0.5 // of the time after which a worker closes an idle connection, and a posting there is lost
 	tailFor    = 1000.0
-	streamMost = 1 << 20 // of notes and result of one posting
+	streamMost = 256 << 10 // of notes and result of one posting
 )
 
 var responseLimits = http1.Limits{Head: headMost, Body: streamMost}
@@ -29,10 +29,13 @@
 // lanesMost leaves two thirds of the descriptors to clients: at most workers a connection waits for nothing.
 func (s *Scheduler) lanesMost() int { return (s.sockets() - ownSockets) / 3 }
 
+// dialsMost bounds the connections being made, as each holds two descriptors until it is on the loop.
+func (s *Scheduler) dialsMost() int { return s.lanesMost() / 4 }
+
 // pool holds the connections to workers.
 type pool struct {
 	s       *Scheduler
-	targets map[string]*target
+	targets []*target
 	lanes   []*lane
 	dials   int
 	most    int
@@ -41,6 +44,7 @@
 // target is a worker as its connections know it.
 type target struct {
 	id, addr string
+	open     bool    // it may be sent something new
 	idle     []*lane // the one used last at the end
 }
 
@@ -68,32 +72,51 @@
 }
 
 func (o *pool) init(s *Scheduler) {
-	*o = pool{s: s, targets: map[string]*target{}, most: s.lanesMost()}
+	*o = pool{s: s, most: s.lanesMost()}
 }
 
-// know takes a worker's address from the list. Where it changed, idle connections lead to the old one.
-func (o *pool) know(id, addr string) {
-	t := o.targets[id]
+func (o *pool) target(id string) *target {
+	if i := slices.IndexFunc(o.targets, func(t *target) bool { return t.id == id }); i >= 0 {
+		return o.targets[i]
+	}
+	return nil
+}
+
+// know takes a worker from the list. Where its address changed, idle connections lead to the old one.
+func (o *pool) know(id, addr string, open bool) {
+	t := o.target(id)
 	if t == nil {
-		o.targets[id] = &target{id: id, addr: addr}
-	} else if t.addr != addr {
-		t.addr = addr
-		o.leave(id)
+		t = &target{id: id, addr: addr}
+		o.targets = append(o.targets, t)
+	}
+	if t.addr != addr {
+		t.leave()
 	}
+	t.addr, t.open = addr, open
 }
 
-// leave closes the idle connections to a worker.
-func (o *pool) leave(id string) {
-	if t := o.targets[id]; t != nil {
-		for len(t.idle) > 0 {
-			t.idle[0].close()
+// forget takes workers off the list.
+func (o *pool) forget(gone func(*target) bool) {
+	o.targets = slices.DeleteFunc(o.targets, func(t *target) bool {
+		if !gone(t) {
+			return false
 		}
+		t.open = false
+		t.leave()
+		return true
+	})
+}
+
+// leave closes the idle connections to a worker.
+func (t *target) leave() {
+	for len(t.idle) > 0 {
+		t.idle[0].close()
 	}
 }
 
 // take finds an idle connection to a worker, or begins a new one. At a bound there is none.
 func (o *pool) take(id string) *lane {
-	t := o.targets[id]
+	t := o.target(id)
 	if t == nil {
 		return nil
 	}
@@ -118,7 +141,7 @@
 		}
 		oldest.close()
 	}
-	if o.dials >= dialsMost {
+	if o.dials >= o.s.dialsMost() {
 		return nil
 	}
 	l := &lane{s: o.s, to: t}
@@ -184,17 +207,20 @@
 func (l *lane) opened(c gnet.Conn) {
 	l.s.pool.dials--
 	l.conn = c
-	l.rest()
+	if l.p != nil && !l.to.open {
+		l.end(balance.NeverSent) // it began to drain or left while the connection was made
+	}
 	if l.p != nil || l.probing {
-		l.to.idle = slices.DeleteFunc(l.to.idle, func(x *lane) bool { return x == l })
 		l.send()
+	} else {
+		l.rest()
 	}
 }
 
 // rest makes the connection an idle one.
 func (l *lane) rest() {
 	l.state, l.since = idle, l.s.now()
-	if l.s.pool.targets[l.to.id] != l.to {
+	if !l.to.open {
 		l.close()
 		return
 	}
@@ -211,7 +237,8 @@
 	} else {
 		a := &l.p.t.ask
 		b = make([]byte, 0, 512+len(a.body))
-		b = append(b, a.method+" "+a.path+" HTTP/1.1\r\nHost: "+a.host+"\r\nRequest-Id: "+a.txn.Ref...)
+		b = append(b, a.method+" "+a.path+" HTTP/1.1\r\nHost: "+cmp.Or(a.host, l.to.addr)...)
+		b = append(b, "\r\nRequest-Id: "+a.txn.Ref...)
 		if a.mark != "" {
 			b = append(b, "\r\nIdempotency-Key: "+a.mark...)
 		}
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -29,6 +29,7 @@
 	seq     int64
 	asking  bool // from the module's wish to the watch's end
 	watched bool // the watch was answered before
+	failed  bool // the last one failed
 	until   float64
 }
 
@@ -94,7 +95,7 @@
 	if !r.asking {
 		return
 	}
-	r.asking = false
+	r.asking, r.failed = false, true
 	if c := r.conn; c != nil {
 		_ = r.s.loop.Close(c)
 	}
@@ -144,7 +145,10 @@
 		return
 	}
 	if !r.watched {
-		r.watched = true
+		if r.failed {
+			r.s.log.Printf("msg=discovery state=answers seq=%d", r.seq)
+		}
+		r.watched, r.failed = true, false
 		r.s.drive.mod.Watched(r.s.now(), true)
 	}
 	if !r.resp.Reusable() {
@@ -154,8 +158,7 @@
 	r.call()
 }
 
-// read tells the module and the pool what a list says. An entry that is no use is left out: its worker stays
-// as it was known.
+// read tells the module and the pool what a list says. An entry that is no use is left out.
 func (r *roster) read(raw []byte) error {
 	var in list
 	if err := json.Unmarshal(raw, &in); err != nil {
@@ -183,18 +186,17 @@
 			state = balance.Draining // nothing is sent to a worker in a state that is not known
 		}
 		if state != balance.Removed {
-			r.s.pool.know(e.Host, e.Dial)
+			r.s.pool.know(e.Host, e.Dial, state == balance.Running)
 		}
 		rows = append(rows, balance.Listed{ID: e.Host, Cell: e.Block, Zone: place(r.s.node.told.Zones, e.Site),
 			Kind: place(r.s.node.told.Kinds, e.Class), State: state, Start: e.Born, Weight: e.Share})
 	}
 	r.seq = *in.Seq
 	r.s.drive.mod.ListChanged(r.s.now(), in.Whole, rows)
-	for _, row := range rows {
-		if row.State == balance.Removed {
-			r.s.pool.leave(row.ID)
-		}
-	}
+	r.s.pool.forget(func(t *target) bool {
+		i := slices.IndexFunc(rows, func(x balance.Listed) bool { return x.ID == t.id })
+		return i < 0 && in.Whole || i >= 0 && rows[i].State == balance.Removed
+	})
 	return nil
 }
 
