--- a/http1/http1.go
+++ b/http1/http1.go
@@ -223,16 +223,15 @@
 	return s != ""
 }
 
-// number reads digits alone: no sign, no space, and no more than fits. Of strconv's readers some take more.
+// number reads digits alone: no sign and no space, which strconv's readers take. One beyond all limits stays
+// there.
 func number(s string, base int) (n int, ok bool) {
 	for i := range len(s) {
 		d := strings.IndexByte("0123456789abcdef", s[i]|0x20)
 		if d < 0 || d >= base || s[i] < '0' {
 			return 0, false
 		}
-		if n = n*base + d; n > 1<<40 {
-			return 0, false
-		}
+		n = min(n*base+d, 1<<40)
 	}
 	return n, s != ""
 }
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -16,6 +16,7 @@
 	from map[netip.AddrPort]int
 	fd   int // the listening socket's, for what is sent, since a peer is known by its address
 	all  unix.Sockaddr
+	addr string // where peers reach this scheduler
 	bad  int
 }
 
@@ -34,9 +35,13 @@
 }
 
 func (p *peers) open() (err error) {
-	if p.s.node.PeerListen != "" {
-		p.fd, err = p.s.eng.DupListener("udp", p.s.node.PeerListen)
+	if p.s.node.PeerListen == "" {
+		return nil
 	}
+	if p.fd, err = p.s.eng.DupListener("udp", p.s.node.PeerListen); err != nil {
+		return err
+	}
+	p.addr, err = p.s.bound("udp", p.s.node.PeerListen)
 	return err
 }
 
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -150,7 +150,7 @@
 		s.err = fmt.Errorf("start: %w", err)
 		return gnet.Shutdown
 	}
-	s.log.Printf("msg=listening name=%s addr=%s", s.node.Name, addr)
+	s.log.Printf("msg=listening name=%s addr=%s peer_addr=%s", s.node.Name, addr, s.peers.addr)
 	return gnet.None
 }
 
