--- /dev/null
+++ b/cmd/shalebeam/main_test.go
@@ -0,0 +1,432 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func TestTxnGoesThroughUnchanged(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	if w, err := http.Get("http://" + s.addr + "/_health"); err != nil || w.StatusCode != 200 {
+		t.Fatal(w, err)
+	}
+	c := s.ask("/look/a%20b?c=d", "r1", "Idempotency-Key", "k1", "Content-Type", "x/y")
+	p := s.call()
+	h := p.r.Header
+	if p.r.Method != "POST" || p.r.RequestURI != "/look/a%20b?c=d" || p.body != "body of r1" || p.id() != "r1" ||
+		h.Get("Idempotency-Key") != "k1" || h.Get("Content-Type") != "x/y" || !strings.HasSuffix(h.Get("Request-Timeout"), "m") {
+		t.Errorf("the worker got %s %s %q %v", p.r.Method, p.r.RequestURI, p.body, h)
+	}
+	p.note("started", "")
+	p.note("running", `,"share":0.4`)
+	p.note("done", `,"result":"a\nb"`)
+	p.end()
+	s.gets(c, 200, "a\nb")
+}
+
+// Each row is what a worker does with a first posting, and whether that proves that it never ran.
+func TestOutcomes(t *testing.T) {
+	t.Parallel()
+	const stream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		do    func(*call)
+		never bool
+	}{
+		"503 not started": {func(c *call) { c.status(503, "1") }, true},
+		"504 not started": {func(c *call) { c.status(504, "1") }, true},
+		"returned":        {func(c *call) { c.note("returned", ""); c.end() }, true},
+		"503":             {func(c *call) { c.status(503, "") }, false},
+		"503 started":     {func(c *call) { c.status(503, "0") }, false},
+		"500":             {func(c *call) { c.status(500, "1") }, false},
+		"302":             {func(c *call) { c.status(302, "") }, false},
+		"failed":          {func(c *call) { c.note("failed", ""); c.end() }, false},
+		"lost":            {func(c *call) { c.note("started", ""); c.note("lost", ""); c.end() }, false},
+		"no last line":    {func(c *call) { c.note("started", ""); c.end() }, false},
+		"broken":          {func(c *call) { c.raw("") }, false},
+		"cut in a note":   {func(c *call) { c.raw(stream + "20\r\n{\"id\":") }, false},
+		"no HTTP":         {func(c *call) { c.raw("SSH-2.0\r\n") }, false},
+		"no JSON":         {func(c *call) { c.raw(stream + "5\r\nrest\n\r\n0\r\n\r\n") }, false},
+		"another's note": {func(c *call) {
+			fmt.Fprintln(c.w, `{"id":"r0","state":"done","result":"x"}`)
+			c.end()
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t)
+			s.start(members(1, true, s.worker("w1"), s.worker("w2")), nil)
+			buy := s.ask("/buy", "r1")
+			c.do(s.call())
+			if !c.never {
+				s.gets(buy, 502, "")
+			} else {
+				p := s.call()
+				p.settle("second")
+				if a := s.gets(buy, 200, "second"); a.err != nil || p.id() != "r1" {
+					t.Errorf("posted again as %s", p.id())
+				}
+			}
+			look := s.ask("/look", "r2")
+			c.do(s.call())
+			p := s.call()
+			p.settle("again")
+			s.gets(look, 200, "again")
+		})
+	}
+}
+
+// A port where none listens and one whose connections never come up: the first proves at once that nothing
+// ran, the second after the time for that, and neither holds up what goes elsewhere.
+func TestNoConnection(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused.Close()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	sa, _ := syscall.Getsockname(fd)
+	full := fmt.Sprint("127.0.0.1:", sa.(*syscall.SockaddrInet4).Port)
+	for { // until its queue is full, and the system drops what knocks
+		c, err := net.DialTimeout("tcp", full, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	s.start(members(1, true, s.worker("w1"), entry("w2", refused.Addr().String(), "in_service"),
+		entry("w3", full, "in_service")), nil)
+	var asked []chan answer
+	for i := range 6 {
+		asked = append(asked, s.ask("/buy", fmt.Sprint("r", i)))
+	}
+	for range asked {
+		s.call().settle("ok")
+	}
+	for _, c := range asked {
+		s.gets(c, 200, "ok")
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	const ids = "Host: a\r\nRequest-Id: r1\r\n"
+	for text, status := range map[string]int{
+		"\x16\x03\x01\x02\x00\n": 400,
+		"POST /look HTTP/1.1\r\n" + ids + "Content-Length: x\r\n\r\n":        400,
+		"POST /look HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n":        400,
+		"POST /look HTTP/1.1\r\n" + ids + "Request-Timeout: 5\r\n\r\n":       400,
+		"POST /look HTTP/1.1\r\n" + ids + "Work-Hint: NaN\r\n\r\n":           400,
+		"POST /look HTTP/1.1\r\n" + ids + "Content-Length: 65537\r\n\r\n":    413,
+		"POST /look HTTP/1.1\r\n" + ids + strings.Repeat("A: b\r\n", 9000):   431,
+		"POST /other HTTP/1.1\r\n" + ids + "Connection: close\r\n\r\n":       404,
+		"PUT /look HTTP/1.1\r\n" + ids + "Connection: close\r\n\r\n":         405,
+		"POST /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n":     405,
+		"POST /look HTTP/3.0\r\n" + ids + "\r\n":                             505,
+		"POST /look HTTP/1.1\r\n" + ids + "Transfer-Encoding: br\r\n\r\nabc": 501,
+	} {
+		if !strings.Contains(text, "Connection") && strings.HasSuffix(text, "\r\n\r\n") {
+			text = strings.TrimSuffix(text, "\r\n") + "Connection: close\r\n\r\n"
+		}
+		if got := s.raw(text); !strings.HasPrefix(got, fmt.Sprintf("HTTP/1.1 %d ", status)) {
+			t.Errorf("%.60q got %.80q, want %d", text, got, status)
+		}
+	}
+	first := s.ask("/look", "twin")
+	p := s.call()
+	s.gets(s.ask("/look", "twin"), 409, "")
+	p.settle("once")
+	s.gets(first, 200, "once")
+	s.serves()
+}
+
+// Requests in single bytes, in chunks, two at once on one connection: what counts is their bytes.
+func TestFramingOnTheSocket(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1"), s.worker("w2")), nil)
+	one := "POST /look HTTP/1.1\r\nHost: a\r\nRequest-Id: r1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nabc"
+	two := "POST /look HTTP/1.1\r\nHost: a\r\nRequest-Id: r2\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n" +
+		"2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"
+	got := make(chan string, 1)
+	go func() { got <- s.raw(strings.Split(one+two, "")...) }()
+	for _, want := range []string{"abc", "def"} {
+		p := s.call()
+		if p.body != want {
+			t.Errorf("the worker got %q, want %q", p.body, want)
+		}
+		p.settle("=" + want)
+	}
+	r := bufio.NewReader(strings.NewReader(within(t, got, "both answers")))
+	for _, want := range []string{"=abc", "=def"} {
+		w, err := http.ReadResponse(r, nil)
+		if err == nil && w.StatusCode == 100 {
+			w, err = http.ReadResponse(r, nil)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := io.ReadAll(w.Body); string(body) != want {
+			t.Errorf("got %q, want %q", body, want)
+		}
+	}
+}
+
+func TestSlowRequestIsTimedOut(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	if got := s.raw("POST /look HTTP/1.1\r\nHost:"); !strings.HasPrefix(got, "HTTP/1.1 408 ") {
+		t.Errorf("got %q", got)
+	}
+	s.serves()
+}
+
+func TestClientThatLeavesCallsItsPostingOff(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	conn, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, "POST /look HTTP/1.1\r\nHost: a\r\nRequest-Id: r1\r\n\r\n")
+	p := s.call()
+	p.note("started", "")
+	conn.Close()
+	within(t, p.r.Context().Done(), "the end of the posting's connection")
+	p.end()
+	s.serves()
+}
+
+func TestExpiryIsAnsweredInTime(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	c := s.ask("/buy", "r1", "Request-Timeout", "300000u")
+	p := s.call()
+	p.note("started", "")
+	s.gets(c, 502, "")
+	within(t, p.r.Context().Done(), "the end of the posting's connection")
+	p.end()
+}
+
+func TestListIsFollowed(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	old, fresh := s.worker("w1"), s.worker("w2")
+	s.tell(2, members(2, true, old))
+	s.start(members(1, true), nil) // it knew of none
+	s.told(2)
+	s.serves()
+	out := s.ask("/look", "r1")
+	p := s.call()
+	s.tell(3, members(3, false, strings.Replace(old, "in_service", "terminating", 1), fresh, `{"host":7}`,
+		entry("w3", "nowhere", "in_service")))
+	s.told(3)
+	for i := range 8 {
+		c := s.ask("/look", fmt.Sprint("s", i))
+		q := s.call()
+		if q.to != "w2" {
+			t.Fatalf("posted to %s, which drains", q.to)
+		}
+		q.settle("ok")
+		s.gets(c, 200, "ok")
+	}
+	p.settle("finished") // what the draining worker had
+	s.gets(out, 200, "finished")
+}
+
+func TestDiscoveryDownOrMad(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil) // discovery answers 503
+	s.told(1)
+	s.serves()
+	s.tell(2, []byte(`{"seq":"x"`))
+	s.told(1)
+	s.told(1)
+	s.serves()
+	fresh := s.worker("w2")
+	s.tell(3, members(3, true, fresh))
+	s.told(3)
+	c := s.ask("/look", "r1")
+	p := s.call()
+	if p.to != "w2" {
+		t.Errorf("posted to %s, which is gone", p.to)
+	}
+	p.settle("ok")
+	s.gets(c, 200, "ok")
+}
+
+func TestFailedWorkerIsProbed(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	c := s.ask("/look", "r1")
+	s.call().raw("")
+	within(t, s.pings, "a probe")
+	s.call().settle("after the probe")
+	s.gets(c, 200, "after the probe")
+}
+
+func TestPeers(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	c := s.ask("/look", "r1")
+	p := s.call()
+	s.peer.SetReadDeadline(time.Now().Add(patience))
+	buf := make([]byte, 1000)
+	n, to, err := s.peer.ReadFromUDP(buf)
+	for ; err == nil && n == 0; n, to, err = s.peer.ReadFromUDP(buf) { // the first may tell of nothing in flight
+	}
+	if err != nil || n > 256 {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	stranger, err := net.DialUDP("udp", nil, to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	for _, body := range [][]byte{nil, {1}, make([]byte, 300), buf[:n]} {
+		s.peer.WriteToUDP(body, to)
+		stranger.Write(body)
+	}
+	p.settle("ok")
+	s.gets(c, 200, "ok")
+	s.serves()
+}
+
+// At the bound on clients a further one is told so at once, and gets through when one of the others is done.
+func TestBoundOnClients(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), map[string]any{"limits": map[string]any{"sockets": 64}})
+	var conns []net.Conn
+	for i := 0; ; i++ {
+		conn, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		// A request of which a part has come is as busy as one that waits for its answer.
+		fmt.Fprintf(conn, "POST /look HTTP/1.1\r\nHost: a\r\nRequest-Id: r%d\r\n", i)
+		if conns = append(conns, conn); len(conns) < 5 {
+			continue
+		}
+		io.WriteString(conn, "\r\n")
+		w, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || w.StatusCode != 503 {
+			t.Fatal(w, err)
+		}
+		break
+	}
+	io.WriteString(conns[0], "\r\n")
+	s.call().settle("ok")
+	if w, err := http.ReadResponse(bufio.NewReader(conns[0]), nil); err != nil || w.StatusCode != 200 {
+		t.Fatal(w, err)
+	}
+	s.serves()
+}
+
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1"), s.worker("w2")), nil)
+	out, stuck := s.ask("/look", "out"), s.ask("/buy", "stuck")
+	a, b := s.call(), s.call()
+	if a.id() != "out" {
+		a, b = b, a
+	}
+	a.note("started", "")
+	b.note("started", "")
+	s.stop()
+	for { // connections that come after the signal are taken, and all they bring is answered
+		w, err := http.Get("http://" + s.addr + "/_health")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if w.Body.Close(); w.StatusCode == 503 {
+			break
+		}
+	}
+	if got := within(t, s.ask("/look", "late"), "an answer"); got.err != nil || got.status != 503 {
+		t.Errorf("a request after the signal got %d %v", got.status, got.err)
+	}
+	a.note("done", `,"result":"finished"`)
+	a.end()
+	s.gets(out, 200, "finished")
+	s.gets(stuck, 502, "") // once-only, and may have run
+	b.end()
+	s.ended()
+}
+
+func TestIdleStopIsClean(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	s.serves()
+	s.stop()
+	s.ended()
+}
+
+func TestBadConfiguration(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for want, more := range map[string]map[string]any{
+		"name is missing":                   {"name": ""},
+		"listen":                            {"listen": "here"},
+		"address already in use":            {"listen": taken.Addr().String()},
+		"discovery":                         {"discovery": ""},
+		"peers_all":                         {"peers_all": "x"},
+		"peers[1]":                          {"peers": []string{"127.0.0.1:1", "y"}},
+		"peers: there are 1":                {"peers": []string{"127.0.0.1:1"}},
+		"seed":                              {"seed": "xyz"},
+		"sockets is 10":                     {"limits": map[string]int{"sockets": 10}},
+		"settings: schemes is missing":      {"settings": map[string]any{}},
+		"cannot unmarshal":                  {"limits": 7},
+		"schemes[0]: name is missing or re": {"settings": map[string]any{"schemes": []any{map[string]int{}}}},
+	} {
+		out, err := exec.Command(program, "serve", "--config", s.config(members(1, true), more)).CombinedOutput()
+		if err == nil || !strings.Contains(string(out), want) || strings.Count(string(out), "\n") != 1 {
+			t.Errorf("want %q, got %v: %s", want, err, out)
+		}
+	}
+	good := s.config(members(1, true), nil)
+	if out, err := exec.Command(program, "check", "--config", good).CombinedOutput(); err != nil {
+		t.Errorf("check: %v: %s", err, out)
+	}
+	if out, err := exec.Command(program, "serve", "--config", good+"x").CombinedOutput(); err == nil {
+		t.Errorf("no file: %s", out)
+	}
+}
