--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -186,7 +186,7 @@
 
 const settings = `{"my_number":0,"peers_total":2,"tick":2000,"zone":0,"zones":["z"],"kinds":["k"],
 "domain":{"tells_start":true},"guarantees":{"cold":20000000,"cold_from":0.2,"fall":2000000,
-"fall_multiple":4.0,"must_ask_in":10000000},"policy_limits":{"cancel":true,"conn_idle":10000000,
+"fall_multiple":4.0,"must_ask_in":60000000},"policy_limits":{"cancel":true,"conn_idle":10000000,
 "connect_timeout":1000000,"max_postings":6,"max_retry_after":2000000,"parallel_tries":true,"peers":true,
 "probes":true,"retry_after":true},"schemes":[
 {"name":"look","effect":"retryable","expiry":20000000,"gain":1.0,"sla_time":9000000,"tardy_gain":0.2},
@@ -209,7 +209,8 @@
 func (s *stage) config(known []byte, more map[string]any) string {
 	c := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1f",
 		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
-		"discovery": serveHTTP(s.t, s.discovery), "peer_listen": "127.0.0.1:0", "peers": []string{"127.0.0.2:1", s.peer.LocalAddr().String()},
+		"discovery": serveHTTP(s.t, s.discovery), "peer_listen": "127.0.0.1:0",
+		"peers":     []string{"127.0.0.2:1", s.peer.LocalAddr().String()},
 		"peers_all": s.peer.LocalAddr().String(), "known": json.RawMessage(known),
 		"settings": json.RawMessage(settings)}
 	for k, v := range more {
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -245,6 +245,7 @@
 	s.serves()
 	out := s.ask("/look", "r1")
 	p := s.call()
+	p.note("started", "") // it has room for more, and less to do than the other
 	s.tell(3, members(3, false, strings.Replace(old, "in_service", "terminating", 1), fresh, `{"host":7}`,
 		entry("w3", "nowhere", "in_service")))
 	s.told(3)
@@ -254,10 +255,15 @@
 		if q.to != "w2" {
 			t.Fatalf("posted to %s, which drains", q.to)
 		}
-		q.settle("ok")
-		s.gets(c, 200, "ok")
+		q.note("started", "")
+		defer func() {
+			q.note("done", `,"result":"ok"`)
+			q.end()
+			s.gets(c, 200, "ok")
+		}()
 	}
-	p.settle("finished") // what the draining worker had
+	p.note("done", `,"result":"finished"`) // what the draining worker had
+	p.end()
 	s.gets(out, 200, "finished")
 }
 
@@ -358,14 +364,13 @@
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
-	s.start(members(1, true, s.worker("w1"), s.worker("w2")), nil)
-	out, stuck := s.ask("/look", "out"), s.ask("/buy", "stuck")
-	a, b := s.call(), s.call()
-	if a.id() != "out" {
-		a, b = b, a
+	s.start(members(1, true, s.worker("w1"), s.worker("w2"), s.worker("w3")), nil)
+	asked, posted := map[string]chan answer{}, map[string]*call{}
+	for id, target := range map[string]string{"out": "/look", "stuck": "/look", "bought": "/buy"} {
+		asked[id] = s.ask(target, id)
+		posted[id] = s.call()
+		posted[id].note("started", "")
 	}
-	a.note("started", "")
-	b.note("started", "")
 	s.stop()
 	for { // connections that come after the signal are taken, and all they bring is answered
 		w, err := http.Get("http://" + s.addr + "/_health")
@@ -379,12 +384,17 @@
 	if got := within(t, s.ask("/look", "late"), "an answer"); got.err != nil || got.status != 503 {
 		t.Errorf("a request after the signal got %d %v", got.status, got.err)
 	}
-	a.note("done", `,"result":"finished"`)
-	a.end()
-	s.gets(out, 200, "finished")
-	s.gets(stuck, 502, "") // once-only, and may have run
-	b.end()
+	posted["out"].note("done", `,"result":"finished"`)
+	posted["out"].end()
+	s.gets(asked["out"], 200, "finished")
+	s.gets(asked["stuck"], 503, "")
+	s.gets(asked["bought"], 502, "") // once-only, and may have run
 	s.ended()
+	posted["stuck"].end()
+	posted["bought"].end()
+	if len(s.calls) > 0 {
+		t.Errorf("%s was posted again at the end", s.call().id())
+	}
 }
 
 func TestIdleStopIsClean(t *testing.T) {
