--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -71,7 +71,7 @@
 	id    int
 	sched *balance.Scheduler
 	timer float64 // when the pending timer comes due
-	free  bool    // the load report's x0 is free slots here
+	told  startup.Told
 }
 
 // Link hosts the instances, which share nothing.
@@ -113,7 +113,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("spawn: %w", err)
 			}
-			in = &instance{id: m.Inst, sched: balance.New(told.Terms), timer: math.Inf(1), free: told.FreeSlots}
+			in = &instance{id: m.Inst, sched: balance.New(told.Terms), timer: math.Inf(1), told: told}
 			l.insts[m.Inst] = in
 		case "stop":
 			delete(l.insts, m.Inst)
@@ -166,14 +166,6 @@
 	return ""
 }
 
-func (in *instance) load(m *message) balance.Load {
-	load := balance.NoLoad
-	if free, ok := m.Telemetry["x0"]; ok && in.free {
-		load.Free = free
-	}
-	return load
-}
-
 func (m *message) how() balance.Outcome {
 	if m.Outcome < 0 || m.Outcome >= len(outcomes) {
 		return balance.Erred // a code that is not known proves nothing
@@ -194,13 +186,13 @@
 	case "dropped":
 		s.Gone(now, m.text())
 	case "answer":
-		s.Ended(now, m.text(), m.Try, m.how(), m.Closed, in.load(m))
+		s.Ended(now, m.text(), m.Try, m.how(), m.Closed, in.told.Load(m.Telemetry))
 	case "update_of":
 		s.Started(now, m.text(), m.Try)
 	case "datagram":
 		s.Heard(now, m.Author, m.Payload)
 	case "ping_result":
-		s.Probed(now, m.Worker, m.how(), in.load(m))
+		s.Probed(now, m.Worker, m.how(), in.told.Load(m.Telemetry))
 	case "sync":
 		if m.Scope == "Error" {
 			s.Watched(now, false)
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -193,12 +193,7 @@
 		return
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	scheme := -1
-	for i, name := range c.s.node.told.Schemes {
-		if name == first {
-			scheme = i
-		}
-	}
+	scheme := place(c.s.node.told.Schemes, first)
 	if scheme < 0 {
 		c.answer(404, "no such scheme\n", -1)
 		return
@@ -235,7 +230,10 @@
 	a = ask{method: c.req.Method, path: c.req.Target, host: get("host"), mark: get("idempotency-key"),
 		kind: get("content-type"), body: c.req.Body()}
 	a.txn = balance.Txn{Ref: get("request-id"), Scheme: scheme, Key: cookie(get("cookie"), "sid"), Hint: -1,
-		Left: row.Expiry, Repeat: get("client-retry") == "1"}
+		Left: row.Expiry, Repeat: get("client-retry") == "1", Tenant: place(c.s.node.told.Tenants, get("tenant"))}
+	if a.txn.Tenant < 0 {
+		a.txn.Tenant = len(c.s.node.told.Tenants) // one that is not known takes no known one's share
+	}
 	if a.txn.Ref == "" || len(a.txn.Ref) > refMost {
 		return a, "Request-Id is missing or too long"
 	}
@@ -257,14 +255,8 @@
 	for pair := range strings.SplitSeq(get("request-info"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0) || x > math.MaxInt32 {
-			continue // free-form: what cannot be read says nothing
-		}
-		switch name {
-		case "slots", "cores_needed":
+		if name == "slots" && err == nil && x >= 0 && !math.IsInf(x, 0) { // what else it tells no choice needs
 			a.txn.Slots = x
-		case "tenant", "org":
-			a.txn.Tenant = int(x)
 		}
 	}
 	return a, ""
--- /dev/null
+++ b/scheduler/clients_test.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"testing"
+
+	"shalebeam/balance"
+)
+
+func TestRequestFields(t *testing.T) {
+	s, _ := onceOnly(t)
+	s.node.told.Tenants = []string{"a", "b"}
+	read := func(head string) (ask, string) {
+		c := &client{s: s}
+		c.req.Reset(requestLimits)
+		if _, err := c.req.Feed([]byte("POST /buy/x HTTP/1.1\r\nHost: h\r\n" + head + "\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		return c.read(0)
+	}
+	const bare = "Request-Id: r1\r\n"
+	for head, want := range map[string]balance.Txn{
+		bare: {Ref: "r1", Hint: -1, Left: 20000, Tenant: 2},
+		bare + "Tenant: b\r\nCookie: a=1; sid=7f; sid2=x\r\nClient-Retry: 1\r\n": {Ref: "r1", Tenant: 1, Key: "7f",
+			Hint: -1, Left: 20000, Repeat: true},
+		bare + "Request-Timeout: 480m\r\nWork-Hint: 1500\r\nRequest-Info: memory=3,slots=2\r\n": {Ref: "r1",
+			Hint: 1.5, Slots: 2, Left: 480, Tenant: 2},
+		bare + "Request-Timeout: 1500u\r\nTenant: nobody\r\n": {Ref: "r1", Hint: -1, Left: 1.5, Tenant: 2},
+		// One client's absurd wait would make the module take all later txns of the scheme for late ones.
+		bare + "Request-Timeout: 1e300m\r\nRequest-Info: slots=x,,=\r\n": {Ref: "r1", Hint: -1,
+			Left: 20000, Tenant: 2},
+	} {
+		if a, wrong := read(head); wrong != "" || a.txn != want {
+			t.Errorf("%q: %s %+v, want %+v", head, wrong, a.txn, want)
+		}
+	}
+	for _, head := range []string{"", bare + "Request-Timeout: m\r\n", bare + "Request-Timeout: -1m\r\n",
+		bare + "Work-Hint: -5\r\n", bare + "Work-Hint: Inf\r\n"} {
+		if _, wrong := read(head); wrong == "" {
+			t.Errorf("%q was taken", head)
+		}
+	}
+}
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -79,7 +79,7 @@
 func (d *drive) started(p *posting) { d.mod.Started(d.s.now(), p.t.ref, p.no) }
 
 // ended tells how a posting ended, and settles its txn with the first result.
-func (d *drive) ended(p *posting, how balance.Outcome, result string) {
+func (d *drive) ended(p *posting, how balance.Outcome, load balance.Load, result string) {
 	p.lane = nil
 	t := p.t
 	t.out--
@@ -87,7 +87,7 @@
 		t.over = true
 		t.from.answer(200, result, -1)
 	}
-	d.mod.Ended(d.s.now(), t.ref, p.no, how, t.over, balance.NoLoad)
+	d.mod.Ended(d.s.now(), t.ref, p.no, how, t.over, load)
 	d.forget(t)
 }
 
@@ -184,7 +184,7 @@
 	if !p.lane.abandon() {
 		how = balance.NeverSent
 	}
-	d.ended(p, how, "")
+	d.ended(p, how, balance.NoLoad, "")
 }
 
 // expire ends the postings whose time is over.
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -182,7 +182,7 @@
 	l := o.take(id)
 	if l == nil {
 		// No connection can be had, so none was made: the module takes it for a worker to leave alone for a while.
-		o.s.drive.ended(p, balance.NoConnect, "")
+		o.s.drive.ended(p, balance.NoConnect, balance.NoLoad, "")
 		return
 	}
 	p.lane, l.p = l, p
@@ -233,7 +233,11 @@
 	l.resp.Reset(responseLimits)
 	var b []byte
 	if l.p == nil {
-		b = append(b, "GET /ping HTTP/1.1\r\nHost: "+l.to.addr+"\r\n\r\n"...)
+		path := "/ping"
+		if l.s.node.told.Reports {
+			path = "/_load"
+		}
+		b = append(b, "GET "+path+" HTTP/1.1\r\nHost: "+l.to.addr+"\r\n\r\n"...)
 	} else {
 		a := &l.p.t.ask
 		b = make([]byte, 0, 512+len(a.body))
@@ -293,16 +297,16 @@
 }
 
 // end tells how the posting or probe ended, if one is on the connection.
-func (l *lane) end(how balance.Outcome) { l.finish(how, "") }
+func (l *lane) end(how balance.Outcome) { l.finish(how, balance.NoLoad, "") }
 
-func (l *lane) finish(how balance.Outcome, result string) {
+func (l *lane) finish(how balance.Outcome, load balance.Load, result string) {
 	if p := l.p; p != nil {
 		l.p = nil
-		l.s.drive.ended(p, how, result)
+		l.s.drive.ended(p, how, load, result)
 	}
 	if l.probing {
 		l.probing = false
-		l.s.drive.mod.Probed(l.s.now(), l.to.id, how, balance.NoLoad)
+		l.s.drive.mod.Probed(l.s.now(), l.to.id, how, load)
 	}
 }
 
@@ -343,7 +347,7 @@
 			return
 		}
 		if l.resp.Done() {
-			l.end(l.status())
+			l.finish(l.status(), l.report(), "")
 			if l.conn == nil {
 				return
 			}
@@ -358,11 +362,24 @@
 	}
 }
 
+// report is the load that a probe's answer tells, if it does.
+func (l *lane) report() balance.Load {
+	var report map[string]float64
+	if !l.probing || !l.s.node.told.Reports || len(l.resp.Body()) == 0 {
+		return balance.NoLoad
+	}
+	if err := json.Unmarshal(l.resp.Body(), &report); err != nil {
+		l.s.log.Printf("msg=malformed from=worker id=%s part=load err=%q", l.to.id, err)
+	}
+	return l.s.node.told.Load(report)
+}
+
 // note is one line of a worker's answer.
 type note struct {
-	ID     string `json:"id"`
-	State  string `json:"state"`
-	Result string `json:"result"`
+	ID     string             `json:"id"`
+	State  string             `json:"state"`
+	Result string             `json:"result"`
+	Load   map[string]float64 `json:"load"`
 }
 
 // notes reads the lines that have come.
@@ -390,21 +407,21 @@
 		case "started":
 			l.s.drive.started(l.p)
 		case "done":
-			l.last(balance.Done, n.Result)
+			l.last(balance.Done, n)
 		case "failed":
-			l.last(balance.Erred, "")
+			l.last(balance.Erred, n)
 		case "returned":
-			l.last(balance.Full, "")
+			l.last(balance.Full, n)
 		case "lost":
-			l.last(balance.Reset, "")
+			l.last(balance.Reset, n)
 		}
 	}
 	return nil
 }
 
-func (l *lane) last(how balance.Outcome, result string) {
+func (l *lane) last(how balance.Outcome, n note) {
 	l.state, l.since = tail, l.s.now()
-	l.finish(how, result)
+	l.finish(how, l.s.node.told.Load(n.Load), n.Result)
 }
 
 // sweep closes connections that have been idle for long, and ends probes that get no answer.
--- a/startup/startup.go
+++ b/startup/startup.go
@@ -13,8 +13,10 @@
 type Told struct {
 	Terms     balance.Terms
 	Schemes   []string // names, in the order of the terms
+	Tenants   []string // the same
 	Zones     []string
 	Kinds     []string
+	Reports   bool    // workers tell of their load
 	FreeSlots bool    // the load report's x0 is free slots here
 	Idle      float64 // a worker closes a connection that stood idle for so long
 	Dial      float64 // a connection that is not up by then never comes
@@ -41,7 +43,11 @@
 		Gain     float64  `json:"gain"`
 		LateGain float64  `json:"tardy_gain"`
 	} `json:"schemes"`
+	Report struct {
+		Fields []string `json:"fields"`
+	} `json:"report"`
 	Orgs []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quota_per_s"`
 	} `json:"orgs"`
 	Domain struct {
@@ -79,14 +85,27 @@
 	if len(f.Schemes) == 0 {
 		return Told{}, fmt.Errorf("settings: schemes is missing or empty")
 	}
-	t := Told{Terms: f.terms(seed), Zones: f.Zones, Kinds: f.Kinds, FreeSlots: f.Domain.X0 == "free slots",
-		Idle: ms(f.Limits.Idle), Dial: ms(f.Limits.Dial)}
+	t := Told{Terms: f.terms(seed), Zones: f.Zones, Kinds: f.Kinds, Reports: len(f.Report.Fields) > 0,
+		FreeSlots: f.Domain.X0 == "free slots",
+		Idle:      ms(f.Limits.Idle), Dial: ms(f.Limits.Dial)}
 	for _, c := range f.Schemes {
 		t.Schemes = append(t.Schemes, c.Name)
 	}
+	for _, o := range f.Orgs {
+		t.Tenants = append(t.Tenants, o.Name)
+	}
 	return t, nil
 }
 
+// Load makes of a worker's report what the module is told.
+func (t *Told) Load(report map[string]float64) balance.Load {
+	load := balance.NoLoad
+	if free, ok := report["x0"]; ok && t.FreeSlots {
+		load.Free = free
+	}
+	return load
+}
+
 func ms(us int64) float64 { return float64(us) / 1000 }
 
 // terms makes of it what the module is told.
--- /dev/null
+++ b/startup/startup_test.go
@@ -0,0 +1,48 @@
+package startup
+
+import (
+	"testing"
+
+	"shalebeam/balance"
+)
+
+func TestDecode(t *testing.T) {
+	told, err := Decode([]byte(`{"my_number":2,"peers_total":3,"tick":2000,"membership_mode":"subscribe",
+"weights":"live","new":{"x":1},
+"zones":["a","b"],"kinds":["k"],"domain":{"class_kind":[-1,0],"class_stretch":[2.5],
+"report_x0":"free slots"},"report":{"fields":["x0"]},"orgs":[{"name":"o","quota_per_s":4}],
+"policy_limits":{"max_retry_after":2000000,"retry_after":true,"conn_idle":10000000,"connect_timeout":250000},
+"schemes":[
+{"name":"s","effect":"dedup","key_scope":"zone","window":40000000,"sla_time":500000,"expiry":7500000},
+{"name":"t","effect":"new","aim_stretch":1.5}]}`), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := told.Terms
+	if w.Seed != 7 || w.Me != 2 || w.Peers != 3 || w.Tick != 2 || !w.MustAsk || !w.LiveWeight ||
+		w.MaxStay != 2000 || w.MaxPosts < 1000 || len(w.Quota) != 1 || w.Quota[0] != 4 {
+		t.Errorf("terms: %+v", w)
+	}
+	s := balance.SchemeRow{Effect: balance.Referenced, Group: balance.GroupZone, Window: 40000, SLA: 500,
+		Stretch: 2.5, Expiry: 7500, Kind: -1}
+	// An effect that is not known is the strictest.
+	u := balance.SchemeRow{Effect: balance.OnceOnly, Group: balance.GroupCell, Stretch: 1.5, Kind: 0}
+	if w.Schemes[0] != s || w.Schemes[1] != u {
+		t.Errorf("schemes: %+v", w.Schemes)
+	}
+	if told.Schemes[1] != "t" || told.Tenants[0] != "o" || told.Zones[1] != "b" ||
+		told.Idle != 10000 || told.Dial != 250 {
+		t.Errorf("told: %+v", told)
+	}
+	if got := told.Load(map[string]float64{"x0": 3.5}); got.Free != 3.5 {
+		t.Errorf("load: %v", got)
+	}
+	if got := told.Load(nil); got != balance.NoLoad {
+		t.Errorf("no load: %v", got)
+	}
+	for _, raw := range []string{``, `7`, `{}`, `{"schemes":[]}`, `{"schemes":[{"expiry":"x"}]}`} {
+		if _, err := Decode([]byte(raw), 1); err == nil {
+			t.Errorf("%s was taken", raw)
+		}
+	}
+}
