--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -347,7 +348,11 @@
 			return
 		}
 		if l.resp.Done() {
-			l.finish(l.status(), l.report(), "")
+			load := balance.NoLoad
+			if l.probing {
+				load = l.load(l.resp.Body())
+			}
+			l.finish(l.status(), load, "")
 			if l.conn == nil {
 				return
 			}
@@ -362,24 +367,40 @@
 	}
 }
 
-// report is the load that a probe's answer tells, if it does.
-func (l *lane) report() balance.Load {
-	var report map[string]float64
-	if !l.probing || !l.s.node.told.Reports || len(l.resp.Body()) == 0 {
+// load reads a worker's report: an object, or after the mark of its format, as ORCA has it, that or pairs. One
+// that cannot be read is dropped, as what it came with is good all the same.
+func (l *lane) load(report []byte) balance.Load {
+	if !l.s.node.told.Reports || len(report) == 0 {
 		return balance.NoLoad
 	}
-	if err := json.Unmarshal(l.resp.Body(), &report); err != nil {
-		l.s.log.Printf("msg=malformed from=worker id=%s part=load err=%q", l.to.id, err)
+	values := map[string]float64{}
+	text, pairs := strings.CutPrefix(string(report), "TEXT ")
+	if !pairs {
+		text = strings.TrimPrefix(text, "JSON ")
+		if err := json.Unmarshal([]byte(text), &values); err != nil {
+			l.s.log.Printf("msg=malformed from=worker id=%s part=load err=%q", l.to.id, err)
+			return balance.NoLoad
+		}
+		return l.s.node.told.Load(values)
+	}
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			l.s.log.Printf("msg=malformed from=worker id=%s part=load err=%q", l.to.id, err)
+			continue
+		}
+		values[name] = x
 	}
-	return l.s.node.told.Load(report)
+	return l.s.node.told.Load(values)
 }
 
 // note is one line of a worker's answer.
 type note struct {
-	ID     string             `json:"id"`
-	State  string             `json:"state"`
-	Result string             `json:"result"`
-	Load   map[string]float64 `json:"load"`
+	ID     string          `json:"id"`
+	State  string          `json:"state"`
+	Result string          `json:"result"`
+	Load   json.RawMessage `json:"load"`
 }
 
 // notes reads the lines that have come.
@@ -421,7 +442,7 @@
 
 func (l *lane) last(how balance.Outcome, n note) {
 	l.state, l.since = tail, l.s.now()
-	l.finish(how, l.s.node.told.Load(n.Load), n.Result)
+	l.finish(how, l.load(n.Load), n.Result)
 }
 
 // sweep closes connections that have been idle for long, and ends probes that get no answer.
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -77,6 +77,17 @@
 	}
 }
 
+func TestLoadReports(t *testing.T) {
+	_, l := onceOnly(t)
+	l.s.node.told.Reports, l.s.node.told.FreeSlots = true, true
+	for text, want := range map[string]float64{"": -1, "TEXT tps=1.5, depth=0, x0=4.25": 4.25, `{"x0":2}`: 2,
+		`JSON {"x0":3}`: 3, "TEXT x0=y, tps=1": -1, "TEXT": -1, "TEXT ": -1, `{"x0":"2"}`: -1, "null": -1} {
+		if got := l.load([]byte(text)); got.Free != want {
+			t.Errorf("%q: %v, want %v", text, got.Free, want)
+		}
+	}
+}
+
 // A worker that begins to drain while a connection to it is made is sent nothing on that.
 func TestNothingGoesToADrainingWorkerOnANewConnection(t *testing.T) {
 	s, l := onceOnly(t)
--- a/startup/startup.go
+++ b/startup/startup.go
@@ -100,7 +100,7 @@
 // Load makes of a worker's report what the module is told.
 func (t *Told) Load(report map[string]float64) balance.Load {
 	load := balance.NoLoad
-	if free, ok := report["x0"]; ok && t.FreeSlots {
+	if free, ok := report["x0"]; ok && t.FreeSlots && !math.IsInf(free, 0) {
 		load.Free = free
 	}
 	return load
