--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -62,7 +62,8 @@
 type lane struct {
 	s       *Scheduler
 	to      *target
-	conn    gnet.Conn
+	addr    string    // where it leads; the list may name another later
+	conn    gnet.Conn // nil while it is made, and once it is closed
 	state   laneState
 	p       *posting
 	probing bool
@@ -145,7 +146,7 @@
 	if o.dials >= o.s.dialsMost() {
 		return nil
 	}
-	l := &lane{s: o.s, to: t}
+	l := &lane{s: o.s, to: t, addr: t.addr}
 	o.lanes = append(o.lanes, l)
 	o.dials++
 	o.s.dial(t.addr, l, func(error) {
@@ -221,7 +222,7 @@
 // rest makes the connection an idle one.
 func (l *lane) rest() {
 	l.state, l.since = idle, l.s.now()
-	if !l.to.open {
+	if !l.to.open || l.addr != l.to.addr {
 		l.close()
 		return
 	}
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -46,7 +46,7 @@
 	if _, ok := s.drive.mod.NextPosting(s.now()); !ok {
 		t.Fatal("no posting")
 	}
-	l := &lane{s: s, to: s.pool.target("w1"), state: dialling}
+	l := &lane{s: s, to: s.pool.target("w1"), addr: "127.0.0.1:3"}
 	l.p = &posting{t: x, lane: l, until: x.until}
 	x.posts, x.out = append(x.posts, l.p), 1
 	s.pool.lanes, s.pool.dials = append(s.pool.lanes, l), 1
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -104,11 +104,11 @@
 }
 
 func (r *roster) opened(c gnet.Conn) {
-	r.conn = c
-	if !r.asking {
-		_ = r.s.loop.Close(c)
+	if !r.asking || r.conn != nil {
+		_ = r.s.loop.Close(c) // it came up after the call that wanted it had failed
 		return
 	}
+	r.conn = c
 	r.call()
 }
 
@@ -124,6 +124,9 @@
 }
 
 func (r *roster) traffic(c gnet.Conn) {
+	if c != r.conn {
+		return
+	}
 	buf, _ := c.Peek(-1)
 	n, err := r.resp.Feed(buf)
 	if n > 0 {
