--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -25,21 +25,22 @@
 // test that fails.
 const patience = 20 * time.Second
 
-var program string
+const asProgram = "SHALEBEAM_TEST_MAIN"
 
+// TestMain is the program itself where a test has started it: one built beside the tests would be no part
+// of what their cached results are kept by.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "shalebeam")
-	if err != nil {
-		panic(err)
-	}
-	program = filepath.Join(dir, "shalebeam")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		fmt.Printf("%s", out)
-		os.Exit(1)
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
 	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(m.Run())
+}
+
+func program(args ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), asProgram+"=1")
+	return cmd
 }
 
 // call is one posting as a worker gets it.
@@ -128,6 +129,24 @@
 	}), "in_service")
 }
 
+// bound makes a socket that has an address and does not listen there.
+func bound(t *testing.T) (fd int, addr string) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fd, fmt.Sprint("127.0.0.1:", sa.(*syscall.SockaddrInet4).Port)
+}
+
 func entry(id, addr, health string) string {
 	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","class":"k","block":0,"health":%q,"share":1,
 "born_ms":0}`, id, addr, health)
@@ -232,8 +251,8 @@
 // start runs the program until the test ends.
 func (s *stage) start(known []byte, more map[string]any) {
 	s.t.Helper()
-	s.cmd = exec.Command(program, "serve")
-	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.config(known, more))
+	s.cmd = program("serve")
+	s.cmd.Env = append(s.cmd.Env, "BALANCER_CONFIG="+s.config(known, more))
 	out, err := s.cmd.StderrPipe()
 	if err != nil {
 		s.t.Fatal(err)
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -91,24 +90,11 @@
 func TestNoConnection(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	refused.Close()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer syscall.Close(fd)
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
+	_, refused := bound(t) // its port stays taken, or another test's worker could get it
+	fd, full := bound(t)
 	if err := syscall.Listen(fd, 0); err != nil {
 		t.Fatal(err)
 	}
-	sa, _ := syscall.Getsockname(fd)
-	full := fmt.Sprint("127.0.0.1:", sa.(*syscall.SockaddrInet4).Port)
 	for { // until its queue is full, and the system drops what knocks
 		c, err := net.DialTimeout("tcp", full, 100*time.Millisecond)
 		if err != nil {
@@ -116,7 +102,7 @@
 		}
 		defer c.Close()
 	}
-	s.start(members(1, true, s.worker("w1"), entry("w2", refused.Addr().String(), "in_service"),
+	s.start(members(1, true, s.worker("w1"), entry("w2", refused, "in_service"),
 		entry("w3", full, "in_service")), nil)
 	var asked []chan answer
 	for i := range 6 {
@@ -428,16 +414,16 @@
 		"cannot unmarshal":                  {"limits": 7},
 		"schemes[0]: name is missing or re": {"settings": map[string]any{"schemes": []any{map[string]int{}}}},
 	} {
-		out, err := exec.Command(program, "serve", "--config", s.config(members(1, true), more)).CombinedOutput()
+		out, err := program("serve", "--config", s.config(members(1, true), more)).CombinedOutput()
 		if err == nil || !strings.Contains(string(out), want) || strings.Count(string(out), "\n") != 1 {
 			t.Errorf("want %q, got %v: %s", want, err, out)
 		}
 	}
 	good := s.config(members(1, true), nil)
-	if out, err := exec.Command(program, "check", "--config", good).CombinedOutput(); err != nil {
+	if out, err := program("check", "--config", good).CombinedOutput(); err != nil {
 		t.Errorf("check: %v: %s", err, out)
 	}
-	if out, err := exec.Command(program, "serve", "--config", good+"x").CombinedOutput(); err == nil {
+	if out, err := program("serve", "--config", good+"x").CombinedOutput(); err == nil {
 		t.Errorf("no file: %s", out)
 	}
 }
