--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -26,6 +26,7 @@
 	idleFor    = 60000.0
 	writeFor   = 10000.0 // for a client to take its answer
 	lingerFor  = 1000.0  // for a client to read an answer before the connection is gone
+	sayEvery   = 1000.0  // a fault that comes with each connection is logged so often at the most
 )
 
 // ask is what a request said: the module's part, and what goes on to workers unchanged.
@@ -39,9 +40,10 @@
 
 // clients holds the connections that clients have made.
 type clients struct {
-	s    *Scheduler
-	all  []*client
-	most int
+	s      *Scheduler
+	all    []*client
+	most   int
+	saidAt float64 // when the bound was last logged
 }
 
 // client is one such connection. It carries one request at a time.
@@ -55,6 +57,7 @@
 	used  bool    // it had an answer
 	full  bool    // taken beyond the bound: its request is declined at once
 	begun bool    // part of a request has come
+	reads bool    // traffic is at work on it
 	last  bool    // the connection ends after this answer
 	ends  bool    // the last answer is being written
 	rude  bool    // bytes of it are left unread
@@ -98,9 +101,12 @@
 	case len(cs.all) <= cs.most+spareClients:
 		c.full = true
 	default:
-		cs.s.log.Printf("msg=bound of=clients count=%d", len(cs.all))
 		c.close()
 	}
+	if now := cs.s.now(); out == nil && now > cs.saidAt+sayEvery {
+		cs.saidAt = now
+		cs.s.log.Printf("msg=bound of=clients count=%d", len(cs.all))
+	}
 }
 
 // busy tells whether any answer is owed or not yet written.
@@ -141,6 +147,11 @@
 }
 
 func (c *client) traffic(gnet.Conn) {
+	if c.reads {
+		return // an answer given there goes on with what is buffered
+	}
+	c.reads = true
+	defer func() { c.reads = false }()
 	for c.conn != nil && c.t == nil && !c.ends {
 		buf, _ := c.conn.Peek(-1)
 		if len(buf) == 0 {
@@ -179,7 +190,7 @@
 
 // serve takes a request that has come whole.
 func (c *client) serve() {
-	c.last = c.req.Close() || c.s.phase == draining
+	c.last = c.req.Close() || c.s.phase == draining || c.full
 	path, _, _ := strings.Cut(c.req.Target, "?")
 	if path == "/_health" {
 		switch {
@@ -199,7 +210,6 @@
 		return
 	}
 	if c.full {
-		c.last = true
 		c.answer(503, "all connections are busy\n", -1)
 		return
 	}
@@ -234,8 +244,9 @@
 	if a.txn.Tenant < 0 {
 		a.txn.Tenant = len(c.s.node.told.Tenants) // one that is not known takes no known one's share
 	}
-	if a.txn.Ref == "" || len(a.txn.Ref) > refMost {
-		return a, "Request-Id is missing or too long"
+	other := func(c rune) bool { return c <= ' ' || c > '~' } // JSON would give such a one back changed
+	if a.txn.Ref == "" || len(a.txn.Ref) > refMost || strings.ContainsFunc(a.txn.Ref, other) {
+		return a, "Request-Id is missing, too long or not plain"
 	}
 	if v, ok := f.Get("request-timeout"); ok {
 		left, ok := span(v)
--- a/scheduler/clients_test.go
+++ b/scheduler/clients_test.go
@@ -33,7 +33,8 @@
 			t.Errorf("%q: %s %+v, want %+v", head, wrong, a.txn, want)
 		}
 	}
-	for _, head := range []string{"", bare + "Request-Timeout: m\r\n", bare + "Request-Timeout: -1m\r\n",
+	for _, head := range []string{"", "Request-Id: a b\r\n", "Request-Id: \xff\r\n",
+		bare + "Request-Timeout: m\r\n", bare + "Request-Timeout: -1m\r\n",
 		bare + "Work-Hint: -5\r\n", bare + "Work-Hint: Inf\r\n"} {
 		if _, wrong := read(head); wrong == "" {
 			t.Errorf("%q was taken", head)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -368,8 +368,8 @@
 	}
 }
 
-// load reads a worker's report: an object, or after the mark of its format, as ORCA has it, that or pairs. One
-// that cannot be read is dropped, as what it came with is good all the same.
+// load reads a worker's report: an object, or after the mark of its format, as ORCA has it, that or pairs.
+// One that cannot be read is dropped, as what it came with is good all the same.
 func (l *lane) load(report []byte) balance.Load {
 	if !l.s.node.told.Reports || len(report) == 0 {
 		return balance.NoLoad
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"io"
 	"log"
+	"math/rand"
+	"net/netip"
 	"testing"
+	"testing/quick"
 
 	"github.com/panjf2000/gnet/v2"
 
@@ -15,12 +18,20 @@
 
 type fakeConn struct {
 	gnet.Conn
+	of     connection
+	in     []byte
 	unsent int
 	wrote  string
+	ended  bool
 }
 
-func (c *fakeConn) OutboundBuffered() int { return c.unsent }
-func (c *fakeConn) Fd() int               { return -1 }
+func (c *fakeConn) OutboundBuffered() int    { return c.unsent }
+func (c *fakeConn) Peek(int) ([]byte, error) { return c.in, nil }
+func (c *fakeConn) Discard(n int) (int, error) {
+	c.in = c.in[n:]
+	return n, nil
+}
+func (c *fakeConn) Fd() int { return -1 }
 func (c *fakeConn) Write(b []byte) (int, error) {
 	c.wrote += string(b)
 	return len(b), nil
@@ -28,7 +39,13 @@
 
 type fakeLoop struct{ gnet.EventLoop }
 
-func (fakeLoop) Close(gnet.Conn) error { return nil }
+func (fakeLoop) Close(c gnet.Conn) error {
+	if f := c.(*fakeConn); !f.ended {
+		f.ended = true
+		f.of.closed(c, nil)
+	}
+	return nil
+}
 
 // onceOnly is a scheduler with a once-only txn whose posting waits for a lane's connection.
 func onceOnly(t *testing.T) (*Scheduler, *lane) {
@@ -63,7 +80,7 @@
 	for _, unsent := range []int{0, 1} {
 		t.Run(fmt.Sprint(unsent, " bytes left"), func(t *testing.T) {
 			s, l := onceOnly(t)
-			c := &fakeConn{}
+			c := &fakeConn{of: l}
 			l.opened(c)
 			if c.wrote == "" {
 				t.Fatal("nothing was sent")
@@ -92,9 +109,78 @@
 func TestNothingGoesToADrainingWorkerOnANewConnection(t *testing.T) {
 	s, l := onceOnly(t)
 	s.pool.know("w1", "127.0.0.1:3", false)
-	c := &fakeConn{}
+	c := &fakeConn{of: l}
 	l.opened(c)
 	if c.wrote != "" || l.p != nil || s.reversed() {
 		t.Errorf("sent %q", c.wrote)
 	}
 }
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// garble changes up to three bytes.
+func garble(r *rand.Rand, text string) string {
+	b := []byte(text)
+	for range r.Intn(4) {
+		b[r.Intn(len(b))] = "\x00\r\n{}\":,05aZ\xff"[r.Intn(13)]
+	}
+	return string(b)
+}
+
+// Whatever a worker answers, in whatever pieces, its posting ends once, and it settles the txn when it is what
+// it should be.
+func TestAnyAnswerEndsItsPostingOnce(t *testing.T) {
+	good := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		chunk(`{"id":"r1","state":"started"}`+"\n") +
+		chunk(`{"id":"r1","state":"running","share":0.5}`+"\n"+`{"id":"r1","sta`) +
+		chunk(`te":"done","load":{"x0":1},"result":"x"}`+"\n") + "0\r\n\r\n"
+	run := func(seed int64) bool {
+		r := rand.New(rand.NewSource(seed))
+		s, l := onceOnly(t)
+		p, c := l.p, &fakeConn{of: l}
+		l.opened(c)
+		text := garble(r, good)
+		for rest := text; rest != "" && !c.ended; {
+			n := 1 + r.Intn(len(rest))
+			c.in, rest = append(c.in, rest[:n]...), rest[n:]
+			l.traffic(c)
+		}
+		reused := !c.ended && l.state == idle
+		_ = s.loop.Close(c)
+		if p.t.out != 0 || p.lane != nil || len(s.pool.lanes) != 0 || len(l.to.idle) != 0 {
+			t.Errorf("%q: posting %+v, lane %+v", text, p, l)
+		}
+		if text == good && !(p.t.over && reused) {
+			t.Errorf("cut somehow it does not settle: over %t, reused %t", p.t.over, reused)
+		}
+		return !t.Failed()
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 2000}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Whatever discovery tells, only workers with an address are known.
+func TestAnyListIsSafe(t *testing.T) {
+	const good = `{"seq":4,"whole":true,"hosts":[{"host":"w1","dial":"127.0.0.1:3","site":"a","class":"k",` +
+		`"block":3,"health":"in_service","share":1.0,"born_ms":0},` +
+		`{"host":"w2","dial":"127.0.0.1:4","health":"terminating"}]}`
+	run := func(seed int64) bool {
+		s, _ := onceOnly(t)
+		text := garble(rand.New(rand.NewSource(seed)), good)
+		err := s.roster.read([]byte(text))
+		for _, w := range s.pool.targets {
+			if _, bad := netip.ParseAddrPort(w.addr); bad != nil || w.id == "" {
+				t.Errorf("%s: %+v", text, w)
+			}
+		}
+		if text == good && (err != nil || len(s.pool.targets) != 2 || s.pool.target("w2").open) {
+			t.Errorf("%v %v", err, s.pool.targets)
+		}
+		s.drive.mod.NextPosting(s.now())
+		return !t.Failed()
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 2000}); err != nil {
+		t.Error(err)
+	}
+}
