--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -98,6 +98,8 @@
 	exit  chan error
 	peer  *net.UDPConn
 
+	descriptors int // a limit that the system keeps, where it is above 0
+
 	mu      sync.Mutex
 	list    []byte // what discovery answers; nil: it is down
 	seq     int
@@ -252,6 +254,10 @@
 func (s *stage) start(known []byte, more map[string]any) {
 	s.t.Helper()
 	s.cmd = program("serve")
+	if s.descriptors > 0 {
+		s.cmd.Path = "/bin/sh"
+		s.cmd.Args = []string{"sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s serve", s.descriptors, os.Args[0])}
+	}
 	s.cmd.Env = append(s.cmd.Env, "BALANCER_CONFIG="+s.config(known, more))
 	out, err := s.cmd.StderrPipe()
 	if err != nil {
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -315,9 +316,11 @@
 }
 
 // At the bound on clients a further one is told so at once, and gets through when one of the others is done.
+// However many come, the process never runs out of descriptors, which would end its loop.
 func TestBoundOnClients(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
+	s.descriptors = 64
 	s.start(members(1, true, s.worker("w1")), map[string]any{"limits": map[string]any{"sockets": 64}})
 	var conns []net.Conn
 	for i := 0; ; i++ {
@@ -345,6 +348,31 @@
 		t.Fatal(w, err)
 	}
 	s.serves()
+	for range 100 {
+		conn, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	conns[len(conns)-1].SetDeadline(time.Now().Add(patience))
+	if _, err := conns[len(conns)-1].Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+		t.Errorf("the last of all is not cut off: %v", err)
+	}
+	for _, conn := range conns {
+		conn.Close()
+	}
+	for end := time.Now().Add(patience); ; { // until it has seen them leave
+		w, err := http.Get("http://" + s.addr + "/_health")
+		if err == nil && w.Body.Close() == nil && !w.Close {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("connections that have left still count")
+		}
+	}
+	s.serves()
 }
 
 func TestPlannedStop(t *testing.T) {
