A planned stop posts what still comes if it can be done by then; a loop that ends by itself is an error

Seen in the code: in a drain each new txn's time was cut by the host, so the module took it for a repeat that had used up its SLA time and declined it, though a short job could have been settled. Also: the flood test with the bound taken out showed that Run returned nil when gnet's loop had ended for want of descriptors; it is an error now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,6 +45,7 @@
 	terms       Terms
 	draws       uint32
 	born        float64 // when the first list came
+	stopAt      float64 // when this scheduler ends
 	txns        map[string]*txn
 	held        []*txn     // open txns that want a posting: none is out, or the one that is out is in doubt
 	excess      []*txn     // with more postings out than needed: answered, or one has begun
@@ -84,7 +85,7 @@
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{},
-		tightest: math.Inf(1), born: -1,
+		tightest: math.Inf(1), born: -1, stopAt: math.Inf(1),
 		asked: map[uint32]int{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
 	for _, row := range terms.Schemes {
@@ -169,6 +170,7 @@
 	// longest left that a txn of its scheme came with, tells how much.
 	s.longest[x.Scheme] = max(s.longest[x.Scheme], x.Left)
 	t.due = now + x.Left - s.longest[x.Scheme] + row.SLA + row.Stretch*t.run()
+	t.due, t.until = min(t.due, s.stopAt), min(t.until, s.stopAt)
 	if x.Tenant < len(s.tenants) && s.terms.Quota[x.Tenant] > 0 {
 		t.surplus = s.tenants[x.Tenant].past(now, s.terms.Quota[x.Tenant]/float64(max(s.terms.Peers, 1)), x.Repeat)
 	}
@@ -407,11 +409,11 @@
 	}
 }
 
-// Stops tells that this scheduler ends by a time, before which it owes all its answers: a txn that waited for
-// its own expiry would be lost with it. The host lets no later txn have longer.
+// Stops tells that this scheduler ends by a time: a txn that waited for its own expiry would be lost with it.
 func (s *Scheduler) Stops(by float64) {
+	s.stopAt = by
 	for _, t := range s.txns {
-		t.until = min(t.until, by)
+		t.due, t.until = min(t.due, by), min(t.until, by)
 	}
 }
 
@@ -751,10 +753,9 @@
 		if o.Kind == w.Kind && o.Weight <= w.Weight*1.01 {
 			slots = max(slots, o.most)
 		}
-		if o.Start > 0 {
-			fleet += s.share(now - o.Start)
-		} else {
-			fleet++
+		fleet++
+		if s.cold(now, o) {
+			fleet -= 1 - s.share(now-o.Start)
 		}
 	}
 	if !s.thin() || len(s.settled) < samplesKept {
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -49,11 +49,9 @@
 // arrive takes a request that came whole.
 func (d *drive) arrive(from *client, a ask) *txn {
 	now := d.s.now()
-	left := min(a.txn.Left, d.stopAt-now)
-	t := &txn{ref: a.txn.Ref, ask: a, from: from, until: now + left}
+	t := &txn{ref: a.txn.Ref, ask: a, from: from, until: min(now+a.txn.Left, d.stopAt)}
 	d.txns[t.ref] = t
 	d.open = append(d.open, t)
-	a.txn.Left = left
 	d.mod.Arrived(now, a.txn)
 	return t
 }
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -115,6 +115,9 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if s.phase != stopped {
+		return fmt.Errorf("the event loop ended while %s", s.phase)
+	}
 	return nil
 }
 
