--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -437,6 +437,7 @@
 	rows   []Listed
 	seen   []map[string]Listed // what each scheduler was last told
 	txns   []map[string]*owed
+	stopAt []float64 // when each scheduler ends, as it was told
 	ids    int
 	sent   map[string][]sending
 	slots  float64
@@ -473,6 +474,7 @@
 	terms := w.terms
 	terms.Me, terms.Seed = i, w.r.Uint64()
 	w.scheds[i], w.txns[i], w.seen[i] = New(terms), map[string]*owed{}, map[string]Listed{}
+	w.stopAt[i] = math.Inf(1)
 	w.tell(i)
 }
 
@@ -480,7 +482,8 @@
 	r := rand.New(rand.NewSource(seed))
 	n := 1 + r.Intn(manyPeers+3)
 	w := &world{r: r, terms: plainTerms, scheds: make([]*Scheduler, n), seen: make([]map[string]Listed, n),
-		txns: make([]map[string]*owed, n), sent: map[string][]sending{}, now: 1000, slots: 1}
+		txns: make([]map[string]*owed, n), stopAt: make([]float64, n), sent: map[string][]sending{},
+		now: 1000, slots: 1}
 	w.terms.Peers, w.terms.TellsStart, w.terms.Messages = n, r.Intn(3) > 0, r.Intn(2) > 0
 	w.terms.Copies, w.terms.Probes = r.Intn(2) > 0, r.Intn(2) > 0
 	w.terms.Cancels, w.terms.LiveWeight = r.Intn(3) > 0, r.Intn(2) > 0
@@ -515,7 +518,7 @@
 		w.ids++
 		x := Txn{Ref: fmt.Sprint("t", w.ids), Scheme: w.r.Intn(3), Key: key, Hint: hint, Slots: 1,
 			Left: 500 + w.r.Float64()*6000}
-		w.txns[i][x.Ref] = &owed{Txn: x, until: w.now + x.Left}
+		w.txns[i][x.Ref] = &owed{Txn: x, until: min(w.now+x.Left, w.stopAt[i])}
 		s.Arrived(w.now, x)
 	case k < 53 && len(w.rows) > 0: // a worker restarts, drains, goes or comes back
 		row := &w.rows[w.r.Intn(len(w.rows))]
@@ -531,10 +534,19 @@
 		s.Heard(w.now, w.r.Intn(3), []byte{1, 2, 3, 4})
 	case k < 64:
 		s.Watched(w.now, w.r.Intn(2) > 0)
+	case k < 65 && math.IsInf(w.stopAt[i], 1):
+		w.stopAt[i] = w.now + w.r.Float64()*3000
+		s.Stops(w.stopAt[i])
+		for _, t := range w.txns[i] {
+			t.until = min(t.until, w.stopAt[i])
+		}
 	}
 	for i := range w.scheds {
 		w.outcomes(i)
 		w.pull(i)
+		if w.now > w.stopAt[i] {
+			w.start(i)
+		}
 	}
 }
 
