--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,6 @@
 	test -z "$$(gofmt -l .)"
 	go vet ./...
 
-# CONFIG names the file that the platform gives a scheduler; see README.md for its form.
+# CONFIG names the file that tells the scheduler of its machine, else BALANCER_CONFIG does; README.md has its form.
 run: build
-	bin/shalebeam serve --config $(CONFIG)
+	bin/shalebeam serve $(if $(CONFIG),--config $(CONFIG))
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -276,6 +276,28 @@
 	s.gets(c, 200, "ok")
 }
 
+// A discovery that answers each watch at once, with no news, is not called without pause.
+func TestHastyDiscoveryIsNotHurried(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	var last time.Time
+	gaps := make(chan time.Duration, 1000)
+	hasty := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if !last.IsZero() && r.URL.Query().Get("wait_ms") != "0" {
+			gaps <- time.Since(last)
+		}
+		last = time.Now()
+		w.Write(members(1, false))
+	})
+	s.start(members(1, true, s.worker("w1")), map[string]any{"discovery": hasty})
+	within(t, gaps, "the watch's second call") // the first is a question only whether the watch is on
+	for range 3 {
+		if gap := within(t, gaps, "the watch's next call"); gap < 30*time.Millisecond {
+			t.Errorf("called again after %v", gap)
+		}
+	}
+}
+
 func TestFailedWorkerIsProbed(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -127,8 +127,7 @@
 	return string(b)
 }
 
-// Whatever a worker answers, in whatever pieces, its posting ends once, and it settles the txn when the answer
-// is what it should be.
+// Whatever a worker answers, in whatever pieces, its posting ends once; a good answer settles the txn.
 func TestAnyAnswerEndsItsPostingOnce(t *testing.T) {
 	good := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
 		chunk(`{"id":"r1","state":"started"}`+"\n") +
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -16,6 +16,7 @@
 const (
 	answerFor  = 2000.0 // for discovery to answer, beyond the wait it was asked for
 	waitMost   = 20000.0
+	soonGap    = 50.0 // with the time to the next sweep well below the 200 ms in which a watch must go on
 	listMost   = 4 << 20
 	rosterPath = "/catalog/members"
 )
@@ -30,7 +31,10 @@
 	asking  bool // from the module's wish to the watch's end
 	watched bool // the watch was answered before
 	failed  bool // the last one failed
+	callAt  float64
+	wait    float64 // what that call asked for
 	until   float64
+	nextAt  float64 // when to go on after an answer that came too soon; 0: there was none
 }
 
 // list is what discovery answers.
@@ -77,25 +81,25 @@
 
 // call sends the next call of a watch. The first is answered at once, and so tells that the watch is on.
 func (r *roster) call() {
-	wait := 0.0
+	r.wait, r.nextAt, r.callAt = 0, 0, r.s.now()
 	if r.watched {
-		wait = min(r.s.node.told.Terms.AskIn/2, waitMost)
+		r.wait = min(r.s.node.told.Terms.AskIn/2, waitMost)
 	}
-	r.until = r.s.now() + wait + answerFor
+	r.until = r.callAt + r.wait + answerFor
 	if r.conn == nil {
 		r.s.dial(r.s.node.Discovery, r, func(err error) { r.fail(err) })
 		return
 	}
 	r.resp.Reset(http1.Limits{Head: headMost, Body: listMost})
 	_, _ = r.conn.Write([]byte("GET " + rosterPath + "?after=" + strconv.FormatInt(r.seq, 10) + "&wait_ms=" +
-		strconv.Itoa(int(wait)) + " HTTP/1.1\r\nHost: " + r.s.node.Discovery + "\r\n\r\n"))
+		strconv.Itoa(int(r.wait)) + " HTTP/1.1\r\nHost: " + r.s.node.Discovery + "\r\n\r\n"))
 }
 
 func (r *roster) fail(err error) {
 	if !r.asking {
 		return
 	}
-	r.asking, r.failed = false, true
+	r.asking, r.failed, r.nextAt = false, true, 0
 	if c := r.conn; c != nil {
 		_ = r.s.loop.Close(c)
 	}
@@ -143,6 +147,7 @@
 		r.fail(fmt.Errorf("status %d", r.resp.Status))
 		return
 	}
+	seq := r.seq
 	if err := r.read(r.resp.Body()); err != nil {
 		r.fail(err)
 		return
@@ -158,6 +163,10 @@
 		r.conn = nil // its end is no failure
 		_ = r.s.loop.Close(c)
 	}
+	if now := r.s.now(); seq == r.seq && now < r.callAt+r.wait/2 {
+		r.nextAt = now + soonGap // it does not wait as it was asked to, and calls would follow on each other
+		return
+	}
 	r.call()
 }
 
@@ -206,9 +215,13 @@
 // place is a name's place in the settings' list of such names, or -1.
 func place(names []string, name string) int { return slices.Index(names, name) }
 
-// sweep ends a call that discovery does not answer.
+// sweep ends a call that discovery does not answer, and goes on after an answer that came too soon.
 func (r *roster) sweep(now float64) {
-	if r.asking && now >= r.until {
+	switch {
+	case !r.asking:
+	case r.nextAt > 0 && now >= r.nextAt:
+		r.call()
+	case now >= r.until:
 		r.fail(fmt.Errorf("no answer"))
 	}
 }
