--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -149,6 +149,18 @@
 	return fd, fmt.Sprint("127.0.0.1:", sa.(*syscall.SockaddrInet4).Port)
 }
 
+// fill knocks at a socket that accepts nothing until its queue is full, and the system drops what knocks.
+func fill(t *testing.T, addr string) {
+	t.Helper()
+	for {
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
 func entry(id, addr, health string) string {
 	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","class":"k","block":0,"health":%q,"share":1,
 "born_ms":0}`, id, addr, health)
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -96,13 +96,7 @@
 	if err := syscall.Listen(fd, 0); err != nil {
 		t.Fatal(err)
 	}
-	for { // until its queue is full, and the system drops what knocks
-		c, err := net.DialTimeout("tcp", full, 100*time.Millisecond)
-		if err != nil {
-			break
-		}
-		defer c.Close()
-	}
+	fill(t, full)
 	s.start(members(1, true, s.worker("w1"), entry("w2", refused, "in_service"),
 		entry("w3", full, "in_service")), nil)
 	var asked []chan answer
@@ -117,6 +111,34 @@
 	}
 }
 
+// A worker that vanishes says nothing on the connections it has, and new ones never come up: what may go
+// again is settled elsewhere.
+func TestVanishedWorker(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	fd, addr := bound(t)
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	_ = syscall.SetsockoptTimeval(fd, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &syscall.Timeval{Sec: 20})
+	lost := entry("w1", addr, "in_service")
+	s.start(members(1, true, lost), nil)
+	c := s.ask("/look", "r1")
+	conn, _, err := syscall.Accept(fd)
+	for err == syscall.EINTR {
+		conn, _, err = syscall.Accept(fd)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(conn)
+	fill(t, addr)
+	s.tell(2, members(2, true, lost, s.worker("w2")))
+	p := s.call()
+	p.settle("by the other")
+	s.gets(c, 200, "by the other")
+}
+
 func TestBadInput(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -453,6 +453,7 @@
 		case l.probing && now >= l.until:
 			l.end(balance.TimedOut)
 			l.close()
+			l.to.leave() // on a cut link the others are as dead, and only a new connection tells
 		case l.state == idle && now-l.since > idlePart*o.s.node.told.Idle,
 			l.state == tail && now-l.since > tailFor:
 			l.close()
