--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -456,6 +456,28 @@
 	}
 }
 
+// Killed outright it starts again from nothing under its address, on which connections were open.
+func TestStartAfterAKill(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	pid := os.Getpid()
+	listen := map[string]any{"listen": fmt.Sprintf("127.77.%d.%d:15000", pid>>8&255, pid&255)} // this test's alone
+	known := members(1, true, s.worker("w1"))
+	s.start(known, listen)
+	c := s.ask("/look", "r1")
+	p := s.call()
+	s.cmd.Process.Kill()
+	if err := within(t, s.exit, "the program's end"); err == nil {
+		t.Error("it was not killed")
+	}
+	if a := within(t, c, "the end of the client's connection"); a.err == nil {
+		t.Errorf("an answer from the dead: %d", a.status)
+	}
+	p.end()
+	s.start(known, listen)
+	s.serves()
+}
+
 func TestIdleStopIsClean(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
