--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -461,7 +461,8 @@
 	t.Parallel()
 	s := newStage(t)
 	pid := os.Getpid()
-	listen := map[string]any{"listen": fmt.Sprintf("127.77.%d.%d:15000", pid>>8&255, pid&255)} // this test's alone
+	// An address that no other test gets meanwhile.
+	listen := map[string]any{"listen": fmt.Sprintf("127.77.%d.%d:15000", pid>>8&255, pid&255)}
 	known := members(1, true, s.worker("w1"))
 	s.start(known, listen)
 	c := s.ask("/look", "r1")
