Bad clients' connections end after one answer or 2 s, and go first at the bound

Checked with each answer logged: those that stay had asked for health (568) or an unknown scheme and kept their connection for 60 s; silent ones did too. At fault: clients.go accept (closed idle connections of usual clients first, silent ones never), requestFor 10 s, idleFor 60 s for all.

--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -381,6 +381,33 @@
 	s.gets(c, 200, "fine")
 }
 
+// dial opens a connection that stays, and sends this on it.
+func (s *stage) dial(text string) net.Conn {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, text)
+	return conn
+}
+
+// healthy waits until a connection is taken and the scheduler says that it serves.
+func (s *stage) healthy() {
+	s.t.Helper()
+	for end := time.Now().Add(patience); ; {
+		w, err := http.Get("http://" + s.addr + "/_health")
+		if err == nil && w.Body.Close() == nil && w.StatusCode == 200 {
+			return
+		}
+		if time.Now().After(end) {
+			s.t.Fatal("it serves no more")
+		}
+	}
+}
+
 // raw sends bytes on a new connection and returns all that comes back until that is closed.
 func (s *stage) raw(pieces ...string) string {
 	s.t.Helper()
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -22,7 +22,9 @@
 	// Connections taken beyond the bound only to be told so: what they bring may have been written already.
 	spareClients = 16
 
-	requestFor = 10000.0 // from a request's first byte to its last
+	// From connecting to the first request's last byte, and from a later one's first byte to its last. Usual
+	// clients send a request in one go; silence and heads without end hold what others need.
+	requestFor = 2000.0
 	idleFor    = 60000.0
 	writeFor   = 10000.0 // for a client to take its answer
 	lingerFor  = 1000.0  // for a client to read an answer before the connection is gone
@@ -54,13 +56,12 @@
 	req   http1.Request
 	t     *txn    // the one that its answer is owed for
 	since float64 // when its present state began
-	used  bool    // it had an answer
+	used  bool    // a txn of it was answered, so it is a usual client's and not a silent one
 	full  bool    // taken beyond the bound: its request is declined at once
 	begun bool    // part of a request has come
 	reads bool    // traffic is at work on it
 	last  bool    // the connection ends after this answer
 	ends  bool    // the last answer is being written
-	rude  bool    // bytes of it are left unread
 	shut  bool    // the answer was written, and no more goes out
 }
 
@@ -87,11 +88,11 @@
 	if len(cs.all) <= cs.most {
 		return
 	}
-	// Out of descriptors gnet's loop would end. A connection between two requests may be closed, so the one
-	// idle longest goes.
+	// Out of descriptors gnet's loop would end, so one goes that owes and is owed nothing.
 	var out *client
 	for _, o := range cs.all {
-		if o.idle() && (out == nil || o.since < out.since) {
+		if o != c && o.spare() > 0 && (out == nil || o.spare() > out.spare() ||
+			o.spare() == out.spare() && o.since < out.since) && !o.unread() {
 			out = o
 		}
 	}
@@ -119,10 +120,27 @@
 	return false
 }
 
-// idle tells whether it stands between two requests. Before the first its request may be on its way, and a
-// client that made it only for that would take it for lost.
-func (c *client) idle() bool {
-	return c.used && c.t == nil && !c.begun && !c.ends && c.conn.OutboundBuffered() == 0
+// spare tells how well it can be done without, 0 where not at all: first what has its answer, then what never
+// said anything, then what has yet to say all of its first request, last a usual client's between two requests.
+func (c *client) spare() int {
+	switch {
+	case c.t != nil || c.conn.OutboundBuffered() > 0 || c.used && c.begun:
+		return 0
+	case c.ends:
+		return 4
+	case c.used:
+		return 1
+	case c.begun:
+		return 2
+	}
+	return 3
+}
+
+// unread tells whether bytes have come that the loop has not read yet. They may be a whole request, which is
+// taken once it is here.
+func (c *client) unread() bool {
+	n, err := unix.IoctlGetInt(c.conn.Fd(), unix.SIOCINQ)
+	return err == nil && n > 0
 }
 
 func (c *client) close() {
@@ -158,7 +176,10 @@
 			return
 		}
 		if !c.begun {
-			c.begun, c.since = true, c.s.now()
+			c.begun = true
+			if c.used {
+				c.since = c.s.now() // else the first request's time runs from connecting
+			}
 		}
 		before := c.req.HeadDone()
 		n, err := c.req.Feed(buf)
@@ -166,7 +187,6 @@
 			_, _ = c.conn.Discard(n)
 		}
 		if e, ok := err.(*http1.Error); ok {
-			c.last, c.rude = true, true
 			c.answer(e.Status, e.Reason+"\n", -1)
 			return
 		}
@@ -305,12 +325,13 @@
 	501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 
 // answer writes the one answer to the request at hand and goes on to the next. stay is how long the client
-// should keep away, in milliseconds, where it is above 0.
+// should keep away, in milliseconds, where it is above 0. What was no txn ends its connection: a client that
+// sends what is of no use, or only asks after the scheduler's health, has no claim to keep a descriptor.
 func (c *client) answer(status int, body string, stay float64) {
 	if c == nil || c.conn == nil {
 		return
 	}
-	c.last = c.last || c.s.phase == draining
+	c.last = c.last || c.t == nil || c.s.phase == draining
 	b := make([]byte, 0, 160+len(body))
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
@@ -335,8 +356,8 @@
 	if c.req.Method != "HEAD" {
 		b = append(b, body...)
 	}
+	c.since, c.begun, c.used, c.ends = c.s.now(), false, c.used || c.t != nil, c.last
 	c.t = nil
-	c.since, c.begun, c.used, c.ends = c.s.now(), false, true, c.last
 	c.req.Reset(requestLimits)
 	if _, err := c.conn.Write(b); err != nil || c.conn == nil {
 		return
@@ -348,14 +369,10 @@
 	}
 }
 
-// finish ends a connection after its last answer. Closed at once with bytes unread it would be reset, and the
-// client could lose the answer.
+// finish ends a connection after its last answer. Closed at once with bytes unread, or on their way, it would be
+// reset and the client could lose the answer.
 func (c *client) finish() {
-	if c.conn.OutboundBuffered() > 0 {
-		return
-	}
-	if !c.rude {
-		c.close()
+	if c.conn.OutboundBuffered() > 0 || c.shut {
 		return
 	}
 	c.shut, c.since = true, c.s.now()
@@ -384,11 +401,12 @@
 		case c.t != nil:
 		case c.begun:
 			if age > requestFor {
-				c.last, c.rude = true, true
 				c.answer(408, "request too slow\n", -1)
 			}
-		case age > idleFor || cs.s.phase == draining && c.used:
-			c.close()
+		case age > requestFor && !c.used, age > idleFor, cs.s.phase == draining && c.used:
+			if !c.unread() {
+				c.close()
+			}
 		}
 	}
 }
