SIGHUP reads the configuration again and follows discovery to its new address

At fault: main.go caught SIGTERM and SIGINT only, and the roster knew one address for all its life. Now SIGHUP is caught first of all; Scheduler.Reload takes a parsed Node onto the loop; the roster speaks through a link, and of one that is not its own any more nothing is heard; a new service is asked for its whole list. A file that is no use changes nothing. Both new tests fail on the old code.

--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -94,6 +94,8 @@
 	asks  chan int // the versions that discovery was asked for news after
 	addr  string
 	cmd   *exec.Cmd
+	pid   chan int
+	path  string // of the configuration; start writes one where there is none
 	log   *bytes.Buffer
 	exit  chan error
 	peer  *net.UDPConn
@@ -228,7 +230,7 @@
 // newStage makes all but the scheduler.
 func newStage(t *testing.T) *stage {
 	s := &stage{t: t, calls: make(chan *call, 100), pings: make(chan string, 100), asks: make(chan int, 1000),
-		log: &bytes.Buffer{}, exit: make(chan error, 1), changed: make(chan struct{})}
+		log: &bytes.Buffer{}, exit: make(chan error, 1), pid: make(chan int, 2), changed: make(chan struct{})}
 	peer, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
@@ -270,7 +272,10 @@
 		s.cmd.Path = "/bin/sh"
 		s.cmd.Args = []string{"sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s serve", s.descriptors, os.Args[0])}
 	}
-	s.cmd.Env = append(s.cmd.Env, "BALANCER_CONFIG="+s.config(known, more))
+	if s.path == "" {
+		s.path = s.config(known, more)
+	}
+	s.cmd.Env = append(s.cmd.Env, "BALANCER_CONFIG="+s.path)
 	out, err := s.cmd.StderrPipe()
 	if err != nil {
 		s.t.Fatal(err)
@@ -278,6 +283,7 @@
 	if err := s.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
+	s.pid <- s.cmd.Process.Pid
 	addr := make(chan string, 1)
 	go func() {
 		lines := bufio.NewScanner(out)
@@ -305,6 +311,35 @@
 	s.addr = within(s.t, addr, "the program's address")
 }
 
+// logs waits for a line of the program's log that holds this, n times.
+func (s *stage) logs(text string, n int) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		got := strings.Count(s.log.String(), text)
+		s.mu.Unlock()
+		if got == n {
+			return
+		}
+		if got > n || time.Now().After(end) {
+			s.t.Fatalf("%d log lines have %q, want %d", got, text, n)
+		}
+	}
+}
+
+// reload has the program read a file of these bytes, or none, as its configuration.
+func (s *stage) reload(raw []byte) {
+	s.t.Helper()
+	err := os.Remove(s.path)
+	if raw != nil {
+		err = os.WriteFile(s.path, raw, 0o600)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.cmd.Process.Signal(syscall.SIGHUP)
+}
+
 func (s *stage) stop() { s.cmd.Process.Signal(syscall.SIGTERM) }
 
 // ended waits for the program's end, which must be a clean one.
--- a/cmd/shalebeam/main.go
+++ b/cmd/shalebeam/main.go
@@ -21,14 +21,25 @@
 
 type serve struct{ file }
 
-func (c *serve) Run() error {
+func (c *serve) Run(hup chan os.Signal) error {
 	n, err := scheduler.Load(c.Path)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return scheduler.New(n, log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)).Run(ctx)
+	l := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
+	s := scheduler.New(n, l)
+	go func() {
+		for range hup {
+			if n, err := scheduler.Load(c.Path); err != nil {
+				l.Printf("msg=reload state=refused err=%q", err)
+			} else {
+				s.Reload(n)
+			}
+		}
+	}()
+	return s.Run(ctx)
 }
 
 type check struct{ file }
@@ -53,11 +64,15 @@
 }
 
 func main() {
+	// Before all else, since SIGHUP would end the program. One that comes while a file is read waits for its turn,
+	// and any more of them tell nothing new.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	var cli struct {
 		Serve   serve   `cmd:"" help:"Serve until SIGTERM, then answer all and exit."`
 		Check   check   `cmd:"" help:"Check a configuration and exit."`
 		Version version `cmd:"" help:"Print the version."`
 	}
-	k := kong.Parse(&cli, kong.Name("shalebeam"), kong.Description("A scheduler that pushes txns to workers."))
+	k := kong.Parse(&cli, kong.Bind(hup), kong.Name("shalebeam"), kong.Description("A scheduler that pushes txns to workers."))
 	k.FatalIfErrorf(k.Run())
 }
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -320,6 +321,92 @@
 	}
 }
 
+// A new configuration moves to another discovery at once, whatever version that one is at; nothing in flight
+// is touched, and a file that is no use changes nothing. (SIGHUP ended the program.)
+func TestReload(t *testing.T) {
+	t.Parallel()
+	s, other := newStage(t), newStage(t)
+	old, fresh := s.worker("w1"), s.worker("w2")
+	s.tell(40, members(40, true, old))
+	other.tell(7, members(7, true, fresh))
+	known := members(1, true, old)
+	s.start(known, nil)
+	s.told(40)
+	c := s.ask("/buy", "r1")
+	p := s.call()
+	p.note("started", "")
+	good, err := os.ReadFile(s.config(known, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, raw := range [][]byte{nil, good[:len(good)/2], []byte("{}")} {
+		if i == 0 {
+			s.reload(nil)
+		} else {
+			os.WriteFile(s.path, raw, 0o600)
+			s.cmd.Process.Signal(syscall.SIGHUP)
+		}
+		s.logs("msg=reload state=refused", i+1)
+	}
+	good, err = os.ReadFile(s.config(known, map[string]any{"discovery": serveHTTP(t, other.discovery),
+		"seed": "2e", "limits": map[string]int{"sockets": 300}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.reload(good)
+	s.logs("state=taken", 1)
+	s.logs("kept=limits\n", 1)
+	if after := within(t, other.asks, "a call of the new discovery"); after != 0 {
+		t.Errorf("its first call is for what is newer than %d, a version of the old one", after)
+	}
+	other.told(7)
+	s.tell(41, members(41, true, old)) // nobody listens there any more
+	buy := s.ask("/buy", "r2")
+	q := s.call()
+	if q.to != "w2" {
+		t.Errorf("posted to %s, which the new discovery does not name", q.to)
+	}
+	q.settle("by the new")
+	s.gets(buy, 200, "by the new")
+	p.note("done", `,"result":"in flight"`)
+	p.end()
+	s.gets(c, 200, "in flight")
+	s.reload(good) // the same again
+	s.logs("state=taken", 2)
+	s.stop()
+	s.ended()
+}
+
+// SIGHUP may come before the program has read what it is told.
+func TestReloadAtTheStart(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	known := members(1, true, s.worker("w1"))
+	raw, err := os.ReadFile(s.config(known, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.path = filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(s.path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	write := func(then func()) {
+		f, err := os.OpenFile(s.path, os.O_WRONLY, 0) // waits for the program to open it too
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer f.Close()
+		then()
+		f.Write(raw)
+	}
+	go write(func() { syscall.Kill(<-s.pid, syscall.SIGHUP) })
+	s.start(nil, nil)
+	write(func() {})
+	s.logs("state=taken", 1)
+	s.serves()
+}
+
 func TestFailedWorkerIsProbed(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -114,8 +114,8 @@
 		d.sweepAt = now + sweepEvery
 		d.s.clients.sweep(now)
 		d.s.pool.sweep(now)
-		d.s.roster.sweep(now)
 	}
+	d.s.roster.sweep(now)
 	for d.step(now) {
 		now = d.s.now()
 	}
@@ -198,7 +198,7 @@
 
 // arm sets the one timer for the module's next wake-up, or for what has to end sooner.
 func (d *drive) arm(now float64) {
-	at := min(d.mod.Wake(now), d.sweepAt)
+	at := min(d.mod.Wake(now), d.sweepAt, d.s.roster.wake())
 	for _, t := range d.open {
 		for _, p := range t.posts {
 			if p.lane != nil {
--- a/scheduler/node.go
+++ b/scheduler/node.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"shalebeam/startup"
@@ -62,6 +64,24 @@
 	return n, nil
 }
 
+// differs names what another configuration has otherwise and only a restart changes. The seed is new with each
+// start, and the known list only begins one.
+func (n *Node) differs(o *Node) (names []string) {
+	told := o.told
+	told.Terms.Seed = n.told.Terms.Seed
+	for _, p := range []struct {
+		name string
+		same bool
+	}{{"name", n.Name == o.Name}, {"listen", n.Listen == o.Listen}, {"limits", n.Limits == o.Limits},
+		{"peer_listen", n.PeerListen == o.PeerListen}, {"peers", slices.Equal(n.Peers, o.Peers)},
+		{"peers_all", n.PeersAll == o.PeersAll}, {"settings", reflect.DeepEqual(n.told, told)}} {
+		if !p.same {
+			names = append(names, p.name)
+		}
+	}
+	return names
+}
+
 func (n *Node) check() error {
 	if n.Name == "" {
 		return fmt.Errorf("name is missing")
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -6,6 +6,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log"
@@ -13,6 +14,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -53,7 +55,7 @@
 	loop    gnet.EventLoop
 	first   net.Conn // see OnBoot
 	err     error
-	ready   chan struct{} // closed once there is a loop
+	ready   chan struct{} // closed once there is a loop, or Run has ended without one
 	origin  time.Time
 	wall    float64 // at origin, Unix time in milliseconds
 	drainBy float64
@@ -94,6 +96,11 @@
 		// The collector works harder from here on, before the platform's limit kills the process.
 		debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 3 / 4)
 	}
+	defer func() {
+		if s.loop == nil {
+			close(s.ready) // nobody waits for a loop that there never was
+		}
+	}()
 	stop := context.AfterFunc(ctx, func() { s.onLoop(s.drain) })
 	defer stop()
 	addrs := []string{"tcp://" + s.node.Listen}
@@ -123,7 +130,9 @@
 
 // onLoop runs f on the event loop, from any goroutine. Once the loop has ended there is nothing left to do.
 func (s *Scheduler) onLoop(f func()) {
-	<-s.ready
+	if <-s.ready; s.loop == nil {
+		return
+	}
 	_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		f()
 		if s.pull() == gnet.Shutdown {
@@ -201,6 +210,16 @@
 	s.drive.shorten(s.drainBy)
 }
 
+// Reload takes a new configuration, from any goroutine. Discovery is followed to its new address at once, and
+// nothing in flight is touched; what else differs needs a restart, is logged by name and stays as it was.
+func (s *Scheduler) Reload(n *Node) {
+	s.onLoop(func() {
+		kept := cmp.Or(strings.Join(s.node.differs(n), ","), "none")
+		s.log.Printf("msg=reload state=taken discovery=%s kept=%s", n.Discovery, kept)
+		s.roster.move(n.Discovery)
+	})
+}
+
 // settle ends a drain once all is answered and written, or its time is over.
 func (s *Scheduler) settle(now float64) {
 	if s.phase != draining || now < s.drained+drainLeast {
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -16,7 +17,7 @@
 const (
 	answerFor  = 2000.0 // for discovery to answer, beyond the wait it was asked for
 	waitMost   = 20000.0
-	soonGap    = 50.0 // with the time to the next sweep well below the 200 ms in which a watch must go on
+	soonGap    = 100.0 // well below the 200 ms in which a watch must go on
 	listMost   = 4 << 20
 	rosterPath = "/catalog/members"
 )
@@ -25,18 +26,25 @@
 // asked for again at each answer, is its own.
 type roster struct {
 	s       *Scheduler
-	conn    gnet.Conn
-	resp    http1.Response
-	seq     int64
-	asking  bool // from the module's wish to the watch's end
-	watched bool // the watch was answered before
-	failed  bool // the last one failed
+	addr    string
+	link    *link // nil while no watch is wanted
+	seq     int64 // the version of the list it has, as this service counts; below 0: it has told none
+	failed  bool  // the last watch failed
+	watched bool  // this one was answered before
 	callAt  float64
 	wait    float64 // what that call asked for
 	until   float64
 	nextAt  float64 // when to go on after an answer that came too soon; 0: there was none
 }
 
+// link is a connection to discovery, made or still to be. Of one that is not the roster's any more, as after a
+// failed call or a new address, nothing is heard.
+type link struct {
+	r    *roster
+	conn gnet.Conn // nil while it is made
+	resp http1.Response
+}
+
 // list is what discovery answers.
 type list struct {
 	Seq   *int64            `json:"seq"`
@@ -58,7 +66,7 @@
 var healths = map[string]balance.State{"in_service": balance.Running, "terminating": balance.Draining,
 	"terminated": balance.Removed}
 
-func (r *roster) init(s *Scheduler) { r.s = s }
+func (r *roster) init(s *Scheduler) { *r = roster{s: s, addr: s.node.Discovery} }
 
 // begin takes the list that the configuration brought.
 func (r *roster) begin() {
@@ -72,11 +80,31 @@
 
 // ask begins a watch.
 func (r *roster) ask() {
-	if r.asking {
+	if r.link == nil {
+		r.watched = false
+		r.call()
+	}
+}
+
+// move goes over to discovery at another address, at once. The list stays until the new one tells its own:
+// how it counts versions need not be how the old one did, so it is asked for all.
+func (r *roster) move(addr string) {
+	if addr == r.addr {
 		return
 	}
-	r.asking, r.watched = true, false
-	r.call()
+	r.addr, r.seq = addr, -1
+	r.hangUp()
+	// The failures of the old one say nothing of the new one: to the module its watch goes on.
+	r.s.drive.mod.Watched(r.s.now(), true)
+	r.ask()
+}
+
+func (r *roster) hangUp() {
+	l := r.link
+	r.link, r.nextAt = nil, 0
+	if l != nil && l.conn != nil {
+		_ = r.s.loop.Close(l.conn)
+	}
 }
 
 // call sends the next call of a watch. The first is answered at once, and so tells that the watch is on.
@@ -86,82 +114,83 @@
 		r.wait = min(r.s.node.told.Terms.AskIn/2, waitMost)
 	}
 	r.until = r.callAt + r.wait + answerFor
-	if r.conn == nil {
-		r.s.dial(r.s.node.Discovery, r, func(err error) { r.fail(err) })
+	if r.link == nil {
+		l := &link{r: r}
+		r.link = l
+		r.s.dial(r.addr, l, func(err error) { l.fail(err) })
 		return
 	}
-	r.resp.Reset(http1.Limits{Head: headMost, Body: listMost})
-	_, _ = r.conn.Write([]byte("GET " + rosterPath + "?after=" + strconv.FormatInt(r.seq, 10) + "&wait_ms=" +
-		strconv.Itoa(int(r.wait)) + " HTTP/1.1\r\nHost: " + r.s.node.Discovery + "\r\n\r\n"))
+	query := ""
+	if r.seq >= 0 {
+		query = "?after=" + strconv.FormatInt(r.seq, 10) + "&wait_ms=" + strconv.Itoa(int(r.wait))
+	}
+	r.link.resp.Reset(http1.Limits{Head: headMost, Body: listMost})
+	_, _ = r.link.conn.Write([]byte("GET " + rosterPath + query + " HTTP/1.1\r\nHost: " + r.addr + "\r\n\r\n"))
 }
 
-func (r *roster) fail(err error) {
-	if !r.asking {
+func (l *link) fail(err error) {
+	r := l.r
+	if r.link != l {
 		return
 	}
-	r.asking, r.failed, r.nextAt = false, true, 0
-	if c := r.conn; c != nil {
-		_ = r.s.loop.Close(c)
-	}
+	r.failed = true
+	r.hangUp()
 	r.s.log.Printf("msg=discovery state=failed err=%q", err)
 	r.s.drive.mod.Watched(r.s.now(), false)
 }
 
-func (r *roster) opened(c gnet.Conn) {
-	if !r.asking || r.conn != nil {
-		_ = r.s.loop.Close(c) // it came up after the call that wanted it had failed
+func (l *link) opened(c gnet.Conn) {
+	if l.r.link != l {
+		_ = l.r.s.loop.Close(c)
 		return
 	}
-	r.conn = c
-	r.call()
+	l.conn = c
+	l.r.call()
 }
 
-func (r *roster) closed(c gnet.Conn, err error) {
-	if r.conn != c {
-		return
-	}
-	r.conn = nil
+func (l *link) closed(_ gnet.Conn, err error) {
+	l.conn = nil
 	if err == nil {
 		err = fmt.Errorf("connection ended")
 	}
-	r.fail(err)
+	l.fail(err)
 }
 
-func (r *roster) traffic(c gnet.Conn) {
-	if c != r.conn {
+func (l *link) traffic(c gnet.Conn) {
+	r := l.r
+	if r.link != l {
 		return
 	}
 	buf, _ := c.Peek(-1)
-	n, err := r.resp.Feed(buf)
+	n, err := l.resp.Feed(buf)
 	if n > 0 {
 		_, _ = c.Discard(n)
 	}
 	if err != nil {
-		r.fail(err)
+		l.fail(err)
 		return
 	}
-	if !r.resp.Done() {
+	if !l.resp.Done() {
 		return
 	}
-	if r.resp.Status != 200 {
-		r.fail(fmt.Errorf("status %d", r.resp.Status))
+	if l.resp.Status != 200 {
+		l.fail(fmt.Errorf("status %d", l.resp.Status))
 		return
 	}
 	seq := r.seq
-	if err := r.read(r.resp.Body()); err != nil {
-		r.fail(err)
+	if err := r.read(l.resp.Body()); err != nil {
+		l.fail(err)
 		return
 	}
 	if !r.watched {
 		if r.failed {
-			r.s.log.Printf("msg=discovery state=answers seq=%d", r.seq)
+			r.s.log.Printf("msg=discovery state=answers addr=%s seq=%d", r.addr, r.seq)
 		}
 		r.watched, r.failed = true, false
 		r.s.drive.mod.Watched(r.s.now(), true)
 	}
-	if !r.resp.Reusable() {
-		r.conn = nil // its end is no failure
-		_ = r.s.loop.Close(c)
+	if !l.resp.Reusable() {
+		r.hangUp() // its end is no failure
 	}
 	if now := r.s.now(); seq == r.seq && now < r.callAt+r.wait/2 {
 		r.nextAt = now + soonGap // it does not wait as it was asked to, and calls would follow on each other
@@ -179,6 +208,9 @@
 	if in.Seq == nil {
 		return fmt.Errorf("seq is missing")
 	}
+	if r.seq < 0 && !in.Whole {
+		return fmt.Errorf("a part of the list, where all was asked for")
+	}
 	rows := make([]balance.Listed, 0, len(in.Hosts))
 	for _, raw := range in.Hosts {
 		var e entry
@@ -215,13 +247,24 @@
 // place is a name's place in the settings' list of such names, or -1.
 func place(names []string, name string) int { return slices.Index(names, name) }
 
+// wake is when the next call or the end of this one is due.
+func (r *roster) wake() float64 {
+	switch {
+	case r.nextAt > 0:
+		return r.nextAt
+	case r.link == nil:
+		return math.Inf(1)
+	}
+	return r.until
+}
+
 // sweep ends a call that discovery does not answer, and goes on after an answer that came too soon.
 func (r *roster) sweep(now float64) {
 	switch {
-	case !r.asking:
-	case r.nextAt > 0 && now >= r.nextAt:
+	case now < r.wake():
+	case r.nextAt > 0:
 		r.call()
-	case now >= r.until:
-		r.fail(fmt.Errorf("no answer"))
+	default:
+		r.link.fail(fmt.Errorf("no answer"))
 	}
 }
