Kept connections are distrusted once a worker closes one early; once-only gets a new one

Checked with each end of a posting logged: how=5 after 0 ms, on connections idle for well under the settings' 10 s. Ruled out: a race with the settings' own time (idlePart is half of it). At fault: pool.go take, which believed conn_idle for all; workers close sooner. Now the pool learns from each early close, and a posting that must not run twice, and a probe, get a new connection.

--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -36,6 +36,27 @@
 	s.gets(c, 200, "a\nb")
 }
 
+// A kept connection may be closing at the other end: a once-only txn, whose reset is final, goes on a new one.
+func TestOnceOnlyGetsANewConnection(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	on := func(target, id string) string {
+		c := s.ask(target, id)
+		p := s.call()
+		p.settle("ok")
+		s.gets(c, 200, "ok")
+		return p.r.RemoteAddr
+	}
+	first := on("/look", "r1")
+	if second := on("/look", "r2"); second != first {
+		t.Errorf("a repeatable txn went on %s, and %s was idle", second, first)
+	}
+	if third := on("/buy", "r3"); third == first {
+		t.Error("a once-only txn went on a kept connection")
+	}
+}
+
 // Each row is what a worker does with a first posting, and whether that proves that it never ran.
 func TestOutcomes(t *testing.T) {
 	t.Parallel()
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -95,8 +95,8 @@
 // Done tells whether the message is whole.
 func (m *message) Done() bool { return m.state == done }
 
-// Begun tells whether anything of the message has come, given how much is buffered and not taken.
-func (m *message) Begun(buffered int) bool { return m.state != start || buffered > 0 }
+// Begun tells whether anything of the message has come.
+func (m *message) Begun() bool { return m.state != start || m.seen > 0 }
 
 func (m *message) reset(l Limits) { *m = message{limits: l} }
 
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"slices"
 	"strconv"
@@ -19,8 +20,9 @@
 )
 
 const (
-	ownSockets = 32  // standard streams, pollers, listeners, discovery, and some to spare
-	idlePart   = 0.5 // of the time after which a worker closes an idle connection, and a posting there is lost
+	ownSockets = 32     // standard streams, pollers, listeners, discovery, and some to spare
+	idlePart   = 0.5    // of the time after which a worker closes an idle connection, and a posting there is lost
+	trustAgain = 5000.0 // see keptFor
 	tailFor    = 1000.0
 	streamMost = 256 << 10 // of notes and result of one posting
 )
@@ -40,6 +42,8 @@
 	lanes   []*lane
 	dials   int
 	most    int
+	bad     float64 // how long a connection that was closed early had been idle, and when that was seen
+	badAt   float64
 }
 
 // target is a worker as its connections know it.
@@ -64,6 +68,8 @@
 	to      *target
 	addr    string    // where it leads; the list may name another later
 	conn    gnet.Conn // nil while it is made, and once it is closed
+	rested  float64   // how long it was idle before it was used again; below 0: it is in its first use
+	ours    bool      // closed from this side
 	state   laneState
 	p       *posting
 	probing bool
@@ -74,7 +80,25 @@
 }
 
 func (o *pool) init(s *Scheduler) {
-	*o = pool{s: s, most: s.lanesMost()}
+	*o = pool{s: s, most: s.lanesMost(), badAt: math.Inf(-1)}
+}
+
+// keptFor is how long an idle connection is taken to be good. Workers, and what stands before them, may close
+// one sooner than the settings say, and what is written meanwhile is lost: then half of what that one had is
+// believed, and twice as much again as time passes without.
+func (o *pool) keptFor(now float64) float64 {
+	most := idlePart * o.s.node.told.Idle
+	if math.IsInf(o.badAt, -1) {
+		return most
+	}
+	return min(most, max(o.bad/2, 1)*math.Exp2((now-o.badAt)/trustAgain))
+}
+
+// distrust takes that a worker's side closed a connection that had been idle for so long.
+func (o *pool) distrust(now, rested float64) {
+	if rested < o.keptFor(now) {
+		o.bad, o.badAt = rested, now
+	}
 }
 
 func (o *pool) target(id string) *target {
@@ -116,16 +140,17 @@
 	}
 }
 
-// take finds an idle connection to a worker, or begins a new one. At a bound there is none.
-func (o *pool) take(id string) *lane {
+// take finds an idle connection to a worker, or begins a new one. At a bound there is none. What must be sure
+// of its connection gets a new one.
+func (o *pool) take(id string, sure bool) *lane {
 	t := o.target(id)
 	if t == nil {
 		return nil
 	}
 	now := o.s.now()
-	for n := len(t.idle); n > 0; n = len(t.idle) {
+	for n := len(t.idle); n > 0 && !sure; n = len(t.idle) {
 		l := t.idle[n-1]
-		if now-l.since <= idlePart*o.s.node.told.Idle {
+		if l.rested = now - l.since; l.rested <= o.keptFor(now) && l.quiet() {
 			t.idle = t.idle[:n-1]
 			return l
 		}
@@ -146,7 +171,7 @@
 	if o.dials >= o.s.dialsMost() {
 		return nil
 	}
-	l := &lane{s: o.s, to: t, addr: t.addr}
+	l := &lane{s: o.s, to: t, addr: t.addr, rested: -1}
 	o.lanes = append(o.lanes, l)
 	o.dials++
 	o.s.dial(t.addr, l, func(error) {
@@ -181,7 +206,9 @@
 }
 
 func (o *pool) post(p *posting, id string) {
-	l := o.take(id)
+	// A kept connection may be closing at the other end. A reset then says nothing of whether the posting ran, and
+	// for one that must not run twice that is the end.
+	l := o.take(id, o.s.node.told.Terms.Schemes[p.t.ask.txn.Scheme].Effect == balance.OnceOnly)
 	if l == nil {
 		// No connection can be had, so none was made: the module takes it for a worker to leave alone for a while.
 		o.s.drive.ended(p, balance.NoConnect, balance.NoLoad, "")
@@ -194,7 +221,7 @@
 }
 
 func (o *pool) probe(id string) {
-	l := o.take(id)
+	l := o.take(id, true) // the end of a kept connection says little of its worker
 	if l == nil {
 		o.s.drive.mod.Probed(o.s.now(), id, balance.NoConnect, balance.NoLoad)
 		return
@@ -273,7 +300,14 @@
 	return whole
 }
 
+// quiet tells whether nothing has come on an idle connection, its end above all, that the loop has not seen yet.
+func (l *lane) quiet() bool {
+	_, _, err := unix.Recvfrom(l.conn.Fd(), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == unix.EAGAIN
+}
+
 func (l *lane) close() {
+	l.ours = true
 	if l.conn != nil {
 		_ = l.s.loop.Close(l.conn)
 	}
@@ -288,6 +322,12 @@
 	}
 	l.conn = nil
 	l.s.pool.drop(l)
+	if now := l.s.now(); l.ours {
+	} else if l.state == idle {
+		l.s.pool.distrust(now, now-l.since)
+	} else if l.state == busy && l.rested >= 0 && !l.resp.Begun() {
+		l.s.pool.distrust(now, l.rested)
+	}
 	switch {
 	case short:
 		l.end(balance.NoConnect)
@@ -454,7 +494,7 @@
 			l.end(balance.TimedOut)
 			l.close()
 			l.to.leave() // on a cut link the others are as dead, and only a new connection tells
-		case l.state == idle && now-l.since > idlePart*o.s.node.told.Idle,
+		case l.state == idle && now-l.since > o.keptFor(now),
 			l.state == tail && now-l.since > tailFor:
 			l.close()
 		}
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -116,6 +116,33 @@
 	}
 }
 
+// A worker that closes idle connections sooner than the settings say is believed for a while; postings were
+// written to connections that it had closed.
+func TestKeptConnectionsAreDistrusted(t *testing.T) {
+	s, l := onceOnly(t)
+	o := &s.pool
+	before, now := o.keptFor(s.now()), s.now()
+	c := &fakeConn{of: l}
+	l.opened(c)
+	l.p = nil
+	l.rest()
+	l.since = now - 2000
+	l.closed(c, io.EOF)
+	if got := o.keptFor(now); got < 900 || got > 1100 || before <= got {
+		t.Errorf("after the end of one that was idle for 2 s, %v ms, and %v before", got, before)
+	}
+	for _, rested := range []float64{-1, 100} { // reset in its first use, and when it was used again
+		l := &lane{s: s, to: l.to, state: busy, rested: rested}
+		l.closed(&fakeConn{of: l}, io.EOF)
+		if got := o.keptFor(now); (got < 100) != (rested >= 0) {
+			t.Errorf("after a reset of one that had been idle for %v ms, %v ms", rested, got)
+		}
+	}
+	if got := o.keptFor(now + 60000); got != before {
+		t.Errorf("%v ms in the end, and %v at first", got, before)
+	}
+}
+
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
 // garble changes up to three bytes.
