Only a connection that did not come up casts doubt on what is out at a worker

Checked: the module's counts of own postings are what is on the sockets, peers' counts follow, nobody is left out for long (beliefs logged each half second). Ruled out: false fullness, a stuck peer count.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -291,6 +291,9 @@
 	}
 	t.out--
 	s.report(w, load)
+	if how == Full || how == Cancelled && !p.begun && now-p.at > s.prompt(w) {
+		w.fullAt, w.fullWith = now, w.known()
+	}
 	switch how {
 	case Done:
 		s.since++
@@ -303,14 +306,10 @@
 			s.runs.add(now - p.start)
 			w.bears.add(float64(w.known()+1) * t.run() / max(now-p.start, 1))
 		}
-	case Full:
-		w.fullAt, w.fullWith = now, w.known()
-	case Cancelled:
-		if !p.begun && now-p.at > s.prompt(w) {
-			w.fullAt, w.fullWith = now, w.known()
-		}
-	case NoConnect, Reset:
-		s.failed(now, w)
+	case NoConnect:
+		s.failed(now, w, p.at)
+	case Reset:
+		s.failed(now, w, now)
 	}
 	if !how.NeverRan() && how != Done {
 		p.ran, t.ran = true, true
@@ -327,13 +326,14 @@
 	}
 }
 
-// failed stands a worker aside, and doubts what is still out there: a cut link gives no reset, and those
-// postings would be silent until their txns expire.
-func (s *Scheduler) failed(now float64, w *worker) {
+// failed stands a worker aside. Where no connection came up for long it doubts what is out: a cut link gives
+// no reset, and that would stay silent. A refusal or reset is an answer: copies then only ate the fleet.
+func (s *Scheduler) failed(now float64, w *worker, since float64) {
 	w.fails++
 	w.aside = now + asideFirst*math.Exp2(float64(min(w.fails-1, 4)))
 	for _, p := range w.own {
-		if s.terms.Copies && p.t.out == 1 && !p.t.over && s.terms.Schemes[p.t.Scheme].Effect != OnceOnly {
+		if now-since > s.prompt(w) && s.terms.Copies && p.t.out == 1 && !p.t.over &&
+			s.terms.Schemes[p.t.Scheme].Effect != OnceOnly {
 			s.hold(p.t)
 		}
 	}
@@ -357,12 +357,13 @@
 	if w == nil {
 		return
 	}
+	since := w.probedAt
 	w.probing, w.probedAt = false, now
 	if how == Done {
 		s.report(w, load)
 		w.fails, w.aside = 0, 0
 	} else if w.fails > 0 || how == NoConnect || how == Reset {
-		s.failed(now, w) // a probe that only timed out may have waited at a busy worker
+		s.failed(now, w, since) // a probe that only timed out may have waited at a busy worker
 	}
 }
 
@@ -618,8 +619,7 @@
 }
 
 // silent tells of a posting that has not started in far longer than others lately took to: it may be lost, as
-// on a link that is cut or at a worker that hangs, where nothing fails. It is no sign of a queue: counted as
-// one, a few such workers stopped all postings elsewhere.
+// on a cut link. It is no sign of a queue: a few workers that hang stopped all postings elsewhere.
 func (s *Scheduler) silent(now float64, p *posting) bool {
 	return s.terms.TellsStart && !p.begun && now-p.at > s.patience()
 }
@@ -711,9 +711,8 @@
 	return 1 + int(math.Ceil(w.bears.at(0.5, math.MaxInt32)))
 }
 
-// fullFor is how long a worker that showed itself full is believed to take no more than it has. A trial
-// sooner mostly ends as a posting that waits there, late, while a slot that an own posting leaves is known at
-// once.
+// fullFor is how long a worker that showed itself full is believed to be so: a trial sooner mostly waits
+// there, late, and a slot that an own posting leaves is known at once.
 func (s *Scheduler) fullFor() float64 {
 	if s.thin() {
 		return 0.25 * s.runs.at(0.5, 100)
@@ -978,7 +977,7 @@
 func (s *Scheduler) NextProbe(now float64) (string, bool) {
 	for _, w := range s.list {
 		if s.terms.Probes && now >= s.probeAt(w) {
-			w.probing = true
+			w.probing, w.probedAt = true, now
 			return w.ID, true
 		}
 	}
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -120,8 +120,8 @@
 	return false
 }
 
-// spare tells how well it can be done without, 0 where not at all: first what has its answer, then what never
-// said anything, then what has yet to say all of its first request, last a usual client's between two requests.
+// spare tells how well it can be done without, 0 where not at all: first goes what has its answer, then what
+// never said anything, then what has yet to say all of its first request, last a usual client's between two.
 func (c *client) spare() int {
 	switch {
 	case c.t != nil || c.conn.OutboundBuffered() > 0 || c.used && c.begun:
@@ -369,8 +369,8 @@
 	}
 }
 
-// finish ends a connection after its last answer. Closed at once with bytes unread, or on their way, it would be
-// reset and the client could lose the answer.
+// finish ends a connection after its last answer. Closed at once with bytes unread, or on their way, it would
+// be reset and the client could lose the answer.
 func (c *client) finish() {
 	if c.conn.OutboundBuffered() > 0 || c.shut {
 		return
--- a/scheduler/node.go
+++ b/scheduler/node.go
@@ -64,8 +64,8 @@
 	return n, nil
 }
 
-// differs names what another configuration has otherwise and only a restart changes. The seed is new with each
-// start, and the known list only begins one.
+// differs names what another configuration has otherwise and only a restart changes. The seed is new with
+// each start, and the known list only begins one.
 func (n *Node) differs(o *Node) (names []string) {
 	told := o.told
 	told.Terms.Seed = n.told.Terms.Seed
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -21,7 +21,7 @@
 
 const (
 	ownSockets = 32     // standard streams, pollers, listeners, discovery, and some to spare
-	idlePart   = 0.5    // of the time after which a worker closes an idle connection, and a posting there is lost
+	idlePart   = 0.5    // of the time after which a worker closes an idle connection, and what comes then is lost
 	trustAgain = 5000.0 // see keptFor
 	tailFor    = 1000.0
 	streamMost = 256 << 10 // of notes and result of one posting
@@ -206,8 +206,8 @@
 }
 
 func (o *pool) post(p *posting, id string) {
-	// A kept connection may be closing at the other end. A reset then says nothing of whether the posting ran, and
-	// for one that must not run twice that is the end.
+	// A kept connection may be closing at the other end. A reset then says nothing of whether the posting ran,
+	// and for one that must not run twice that is the end.
 	l := o.take(id, o.s.node.told.Terms.Schemes[p.t.ask.txn.Scheme].Effect == balance.OnceOnly)
 	if l == nil {
 		// No connection can be had, so none was made: the module takes it for a worker to leave alone for a while.
@@ -300,7 +300,7 @@
 	return whole
 }
 
-// quiet tells whether nothing has come on an idle connection, its end above all, that the loop has not seen yet.
+// quiet tells whether nothing has come on an idle connection that the loop has not seen yet, its end above all.
 func (l *lane) quiet() bool {
 	_, _, err := unix.Recvfrom(l.conn.Fd(), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	return err == unix.EAGAIN
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -37,8 +37,8 @@
 	nextAt  float64 // when to go on after an answer that came too soon; 0: there was none
 }
 
-// link is a connection to discovery, made or still to be. Of one that is not the roster's any more, as after a
-// failed call or a new address, nothing is heard.
+// link is a connection to discovery, made or still to be. Of one that is not the roster's any more, as after
+// a failed call or a new address, nothing is heard.
 type link struct {
 	r    *roster
 	conn gnet.Conn // nil while it is made
