Among few schedulers too a posting that does not begin gets a copy; its worker is not taken for full

Checked: starts otherwise come within 12 ms; a probe on another connection is answered at once. Ruled out: a hung worker, a queue. At fault: balance.go tryAt, for many schedulers only; Ended, which took a worker for full for sixteen running times when such a posting was called off, though fewer were known there than had run together.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,6 @@
 	rankAfter     = 3      // C: loads here change with each job, and a sort of a few workers costs little
 	rankEvery     = 1000.0 // about as old as a report gets
 	homes         = 3      // see pickHome
-	waitLeast     = 3      // see waiting: with fewer one lost posting would stop a scheduler
 	tellEvery     = 33.0   // for each peer: a few messages a job at the most, as a job runs far longer
 	shareOver     = 4000.0 // short, as clients come in bursts, yet a dozen txns of most tenants
 	asideFirst    = 500.0  // then twice as long each time: a restart takes seconds, a slip less
@@ -291,7 +290,9 @@
 	}
 	t.out--
 	s.report(w, load)
-	if how == Full || how == Cancelled && !p.begun && now-p.at > s.prompt(w) {
+	// Where all postings are known, one that waited where slots were free was on a connection that fell silent.
+	waited := !p.begun && now-p.at > s.prompt(w) && (!s.knows() || w.known() >= w.most)
+	if how == Full || how == Cancelled && waited {
 		w.fullAt, w.fullWith = now, w.known()
 	}
 	switch how {
@@ -618,40 +619,31 @@
 	return w.fails > 0 && (s.terms.Probes || now < w.aside)
 }
 
-// silent tells of a posting that has not started in far longer than others lately took to: it may be lost, as
-// on a cut link. It is no sign of a queue: a few workers that hang stopped all postings elsewhere.
-func (s *Scheduler) silent(now float64, p *posting) bool {
-	return s.terms.TellsStart && !p.begun && now-p.at > s.patience()
-}
-
+// patience is how long a posting may take to start, far longer than others lately took, until its worker is
+// probed: it may be lost, as on a cut link.
 func (s *Scheduler) patience() float64 { return 3*s.delays.at(0.5, 100) + 2*s.runs.at(0.5, 300) }
 
-// waiting counts own postings that wait at workers. With a few schedulers the one that each lets wait at a
-// worker makes a queue that none of them sees, so each keeps to its even part of what may wait in all.
-func (s *Scheduler) waiting(now float64) int {
-	n := 0
-	for _, p := range s.waits {
-		if s.terms.TellsStart && now-p.at > s.prompt(p.w) && p.w.fails == 0 && !s.silent(now, p) {
-			n++
-		}
-	}
-	return n
-}
-
 // thin tells of so many schedulers that own postings say next to nothing of a worker's queue: a job is then
 // best sent to try for a slot, and tried elsewhere where it does not start.
 func (s *Scheduler) thin() bool { return s.terms.Peers >= manyPeers }
 
-// tryAt is when a posting that has not begun is taken to wait in a queue, so its txn may try elsewhere. One
-// with a key may not: its copies fetched it, at the cost of others' keys, and some ran though called off.
+// tryAt is when a posting that has not begun is taken to wait in a queue, or on a connection that fell silent:
+// its txn may try elsewhere. One with a key may not: its copies fetched it, at the cost of others' keys, and
+// some ran though called off. A few schedulers know where there is room, so there a wait is mostly short.
 func (s *Scheduler) tryAt(p *posting) float64 {
-	if !s.thin() || !s.terms.TellsStart || !s.terms.Copies || !s.terms.Cancels || p.off || p.t.Key != "" ||
+	if !s.terms.TellsStart || !s.terms.Copies || !s.terms.Cancels || p.off || p.t.Key != "" ||
 		s.terms.Schemes[p.t.Scheme].Effect == OnceOnly || len(p.t.posts) >= s.terms.MaxPosts {
 		return math.Inf(1)
 	}
+	if !s.thin() {
+		return p.at + 4*s.prompt(p.w)
+	}
 	return p.at + s.prompt(p.w)
 }
 
+// knows tells that peers tell of all postings that are not own.
+func (s *Scheduler) knows() bool { return s.terms.Peers <= 1 || s.terms.Messages && !s.thin() }
+
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
 	// A queue that outlasts all that a txn can spare is of work that was called off and not dropped.
 	if s.listed() && (t.out > 0 || s.terms.Schemes[t.Scheme].Effect == OnceOnly) &&
@@ -842,8 +834,7 @@
 		s.rerank(now)
 	}
 	s.pulls++
-	if !s.thin() && s.waiting(now) >= max(waitLeast, len(s.ranked)/max(s.terms.Peers, 1)) ||
-		!slices.ContainsFunc(s.ranked, func(w *worker) bool { return s.takes(now, w) }) {
+	if !slices.ContainsFunc(s.ranked, func(w *worker) bool { return s.takes(now, w) }) {
 		return Post{}, false
 	}
 	var best *txn
@@ -1057,9 +1048,6 @@
 	for _, p := range s.waits {
 		next(s.tryAt(p))
 		next(s.lateAt(p, true))
-		if s.terms.TellsStart {
-			next(p.at + s.patience()) // then it is no more counted as waiting
-		}
 	}
 	if len(s.held) > 0 {
 		crowded := s.crowded(now)
