A posting that is silent at a worker that goes on keeps others from it no more

At fault: balance.go room, which waits for any own posting that has not begun. Ruled out: a hung worker, which neither starts others nor answers probes, and stays closed as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -253,7 +253,7 @@
 		return
 	}
 	waited := now-p.at > s.prompt(p.w)
-	p.begun, p.start = true, now
+	p.begun, p.start, p.w.heardAt = true, now, now
 	s.unwait(p)
 	if p.t.out > 1 {
 		s.excess = append(s.excess, p.t)
@@ -301,7 +301,7 @@
 		if s.settled = append(s.settled, sending{now, t.cost}); len(s.settled) > settledKept {
 			s.settled = s.settled[1:]
 		}
-		w.fails, w.aside = 0, 0
+		w.fails, w.aside, w.heardAt = 0, 0, now
 		s.left, s.leftAt = w, now
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
@@ -362,7 +362,7 @@
 	w.probing, w.probedAt = false, now
 	if how == Done {
 		s.report(w, load)
-		w.fails, w.aside = 0, 0
+		w.fails, w.aside, w.heardAt = 0, 0, now
 	} else if w.fails > 0 || how == NoConnect || how == Reset {
 		s.failed(now, w, since) // a probe that only timed out may have waited at a busy worker
 	}
@@ -619,6 +619,12 @@
 	return w.fails > 0 && (s.terms.Probes || now < w.aside)
 }
 
+// silent tells of a posting that has not started for long, while its worker went on with others or answered a
+// probe: it is taken for lost on its connection, and keeps others from the worker no more.
+func (s *Scheduler) silent(now float64, p *posting) bool {
+	return now > p.at+s.patience() && p.w.heardAt > p.at
+}
+
 // patience is how long a posting may take to start, far longer than others lately took, until its worker is
 // probed: it may be lost, as on a cut link.
 func (s *Scheduler) patience() float64 { return 3*s.delays.at(0.5, 100) + 2*s.runs.at(0.5, 300) }
@@ -627,9 +633,9 @@
 // best sent to try for a slot, and tried elsewhere where it does not start.
 func (s *Scheduler) thin() bool { return s.terms.Peers >= manyPeers }
 
-// tryAt is when a posting that has not begun is taken to wait in a queue, or on a connection that fell silent:
-// its txn may try elsewhere. One with a key may not: its copies fetched it, at the cost of others' keys, and
-// some ran though called off. A few schedulers know where there is room, so there a wait is mostly short.
+// tryAt is when a posting that has not begun is taken to wait in a queue, or on a connection that fell
+// silent: its txn may try elsewhere. One with a key may not: its copies fetched it, at the cost of others'
+// keys, and some ran though called off. A few schedulers know where there is room: a wait is mostly short.
 func (s *Scheduler) tryAt(p *posting) float64 {
 	if !s.terms.TellsStart || !s.terms.Copies || !s.terms.Cancels || p.off || p.t.Key != "" ||
 		s.terms.Schemes[p.t.Scheme].Effect == OnceOnly || len(p.t.posts) >= s.terms.MaxPosts {
@@ -681,7 +687,8 @@
 	if w.known() >= s.limit(w) {
 		return false
 	}
-	if s.terms.TellsStart && slices.ContainsFunc(w.own, unbegun) {
+	waits := func(p *posting) bool { return !p.begun && !s.silent(now, p) }
+	if s.terms.TellsStart && slices.ContainsFunc(w.own, waits) {
 		return false
 	}
 	return w.known() < w.fullWith || now >= w.fullAt+s.fullFor()
@@ -1048,6 +1055,7 @@
 	for _, p := range s.waits {
 		next(s.tryAt(p))
 		next(s.lateAt(p, true))
+		next(p.at + s.patience())
 	}
 	if len(s.held) > 0 {
 		crowded := s.crowded(now)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -260,6 +260,26 @@
 	}
 }
 
+// A once-only txn on a silent connection can't be helped, but its worker lives: it got nothing more until the
+// expiry.
+func TestSilentOnceOnlyLeavesItsWorkerOpen(t *testing.T) {
+	terms := plainTerms
+	terms.Probes = true
+	s := started(terms, 1)
+	arrive(s, 0, "silent", 1, 1000)
+	mustPost(t, s, 0)
+	arrive(s, 1, "next", 0, 1000)
+	late := 1 + s.patience()
+	if p, ok := s.NextPosting(late); ok {
+		t.Fatal("posted where nothing was heard:", p)
+	}
+	if id, ok := s.NextProbe(late); !ok || id != "w0" {
+		t.Fatal("no probe")
+	}
+	s.Probed(late, "w0", Done, NoLoad)
+	mustPost(t, s, late)
+}
+
 // A cut link gives neither resets nor failed connections to what is out already: the first connection that
 // fails is the sign, and what may run again goes to another worker.
 func TestDoubtfulPostingsGetSecondCopies(t *testing.T) {
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -179,6 +179,7 @@
 	aside    float64
 	probing  bool
 	probedAt float64
+	heardAt  float64   // when it last began or settled a posting, or answered a probe
 	sent     []sending // while still cold
 	rankLoad float64   // at the last ranking
 	tie      uint32
