A draining scheduler keeps usual clients' connections until the last third of its time

Checked with each answer and arrival logged: the nodes declined six in all; none reached a node between 16.0 and 17.4 s, when one was restarting and the other, told to stop, had closed its clients' connections, while the front sent it nothing new. Ruled out: workers (a release that had ended), discovery, the module. The planned stop's test has the new case.

--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -548,6 +548,8 @@
 		posted[id] = s.call()
 		posted[id].note("started", "")
 	}
+	kept := s.dial("POST /look HTTP/1.1\r\nHost: a\r\nRequest-Id: k1\r\nWork-Hint: 1000\r\n\r\n")
+	s.call().settle("before")
 	s.stop()
 	for { // connections that come after the signal are taken, and all they bring is answered
 		w, err := http.Get("http://" + s.addr + "/_health")
@@ -562,6 +564,18 @@
 	late := s.ask("/look", "late", "Work-Hint", "1000")
 	s.call().settle("in time")
 	s.gets(late, 200, "in time")
+	// A client uses the connection that it has: the next scheduler may be down too.
+	io.WriteString(kept, "POST /look HTTP/1.1\r\nHost: a\r\nRequest-Id: k2\r\nWork-Hint: 1000\r\n\r\n")
+	s.call().settle("after")
+	for r := bufio.NewReader(kept); ; {
+		w, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := io.ReadAll(w.Body); string(body) == "after" {
+			break
+		}
+	}
 	posted["out"].note("done", `,"result":"finished"`)
 	posted["out"].end()
 	s.gets(asked["out"], 200, "finished")
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -110,10 +110,10 @@
 	}
 }
 
-// busy tells whether any answer is owed or not yet written.
+// busy tells whether any answer is owed or not yet written, or a usual client may still ask for more.
 func (cs *clients) busy() bool {
 	for _, c := range cs.all {
-		if c.t != nil || c.begun || c.conn.OutboundBuffered() > 0 {
+		if c.t != nil || c.begun || c.conn.OutboundBuffered() > 0 || c.used && !c.ends {
 			return true
 		}
 	}
@@ -210,7 +210,7 @@
 
 // serve takes a request that has come whole.
 func (c *client) serve() {
-	c.last = c.req.Close() || c.s.phase == draining || c.full
+	c.last = c.req.Close() || c.full
 	path, _, _ := strings.Cut(c.req.Target, "?")
 	if path == "/_health" {
 		switch {
@@ -331,7 +331,8 @@
 	if c == nil || c.conn == nil {
 		return
 	}
-	c.last = c.last || c.t == nil || c.s.phase == draining
+	// What a scheduler that stops turns away may go to another.
+	c.last = c.last || c.t == nil || c.s.parting(c.s.now()) || c.s.phase == draining && status != 200
 	b := make([]byte, 0, 160+len(body))
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
@@ -403,7 +404,7 @@
 			if age > requestFor {
 				c.answer(408, "request too slow\n", -1)
 			}
-		case age > requestFor && !c.used, age > idleFor, cs.s.phase == draining && c.used:
+		case age > requestFor && !c.used, age > idleFor, cs.s.parting(now) && c.used:
 			if !c.unread() {
 				c.close()
 			}
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -220,7 +220,13 @@
 	})
 }
 
-// settle ends a drain once all is answered and written, or its time is over.
+// parting tells whether clients' connections are closed as they fall idle: in the last third of a drain. Until
+// then those that clients have serve them as ever: the other schedulers may be down too, as in a release.
+func (s *Scheduler) parting(now float64) bool {
+	return s.phase == draining && now > s.drainBy-(s.drainBy-s.drained)/3
+}
+
+// settle ends a drain once all is answered and written and no usual client is left, or its time is over.
 func (s *Scheduler) settle(now float64) {
 	if s.phase != draining || now < s.drained+drainLeast {
 		return
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -21,7 +21,7 @@
 
 const (
 	ownSockets = 32     // standard streams, pollers, listeners, discovery, and some to spare
-	idlePart   = 0.5    // of the time after which a worker closes an idle connection, and what comes then is lost
+	idlePart   = 0.5    // of the time after which workers close idle connections, and what comes then is lost
 	trustAgain = 5000.0 // see keptFor
 	tailFor    = 1000.0
 	streamMost = 256 << 10 // of notes and result of one posting
@@ -300,7 +300,7 @@
 	return whole
 }
 
-// quiet tells whether nothing has come on an idle connection that the loop has not seen yet, its end above all.
+// quiet tells whether nothing has come on an idle connection that the loop has not seen yet, such as its end.
 func (l *lane) quiet() bool {
 	_, _, err := unix.Recvfrom(l.conn.Fd(), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	return err == unix.EAGAIN
