A worker that ends postings badly stands aside until one settles

Ruled out: full workers, resets. At fault: balance.go Ended, to which a failed posting says nothing of its worker. The new test fails without.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -301,7 +301,7 @@
 		if s.settled = append(s.settled, sending{now, t.cost}); len(s.settled) > settledKept {
 			s.settled = s.settled[1:]
 		}
-		w.fails, w.aside, w.heardAt = 0, 0, now
+		w.fails, w.aside, w.bad, w.heardAt = 0, 0, 0, now
 		s.left, s.leftAt = w, now
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
@@ -311,6 +311,9 @@
 		s.failed(now, w, p.at)
 	case Reset:
 		s.failed(now, w, now)
+		fallthrough
+	case Erred:
+		w.bad, w.badTill = w.bad+1, now+asideFirst*math.Exp2(float64(min(w.bad, 4)))
 	}
 	if !how.NeverRan() && how != Done {
 		p.ran, t.ran = true, true
@@ -330,8 +333,7 @@
 // failed stands a worker aside. Where no connection came up for long it doubts what is out: a cut link gives
 // no reset, and that would stay silent. A refusal or reset is an answer: copies then only ate the fleet.
 func (s *Scheduler) failed(now float64, w *worker, since float64) {
-	w.fails++
-	w.aside = now + asideFirst*math.Exp2(float64(min(w.fails-1, 4)))
+	w.fails, w.aside = w.fails+1, now+asideFirst*math.Exp2(float64(min(w.fails, 4)))
 	for _, p := range w.own {
 		if now-since > s.prompt(w) && s.terms.Copies && p.t.out == 1 && !p.t.over &&
 			s.terms.Schemes[p.t.Scheme].Effect != OnceOnly {
@@ -552,7 +554,7 @@
 
 // ---- the exceptions ----
 
-// mixed spreads two checksums: the checksum of both texts in one would rank all workers alike for most keys.
+// mixed spreads two checksums: that of both texts in one would rank all workers alike for most keys.
 func mixed(a, b uint32) uint32 {
 	x := (uint64(a)<<32 | uint64(b)) * 0x9e3779b97f4a7c15
 	x = (x ^ x>>32) * 0xd6e8feb86659fd93
@@ -613,10 +615,10 @@
 	return w.open
 }
 
-// suspect tells of a worker that failed and has not had its trial: a probe where there are any, since a txn
-// that is the trial waits in vain for a connection; else the next txn once some time has passed.
+// suspect tells of a worker that failed and has not had its trial: a probe where there are any, as a txn
+// waits in vain for a connection; else the next txn, later. One that ends postings badly answers probes too.
 func (s *Scheduler) suspect(now float64, w *worker) bool {
-	return w.fails > 0 && (s.terms.Probes || now < w.aside)
+	return w.fails > 0 && (s.terms.Probes || now < w.aside) || w.bad > 0 && now < w.badTill
 }
 
 // silent tells of a posting that has not started for long, while its worker went on with others or answered a
@@ -656,6 +658,9 @@
 		s.queue(s.holds(w)) > s.spare(now, t) {
 		return false
 	}
+	if w.bad > 1 && s.terms.Schemes[t.Scheme].Effect == OnceOnly && now < w.badTill+16*asideFirst {
+		return false // no trial for one that can't go again
+	}
 	return s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
 
@@ -1064,7 +1069,7 @@
 		}
 		for _, w := range s.list {
 			next(w.fullAt + s.fullFor())
-			next(w.aside)
+			next(max(w.aside, w.badTill))
 			if s.cold(now, w) {
 				next(now + s.terms.Fall/4)
 			}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -280,6 +280,39 @@
 	mustPost(t, s, late)
 }
 
+// A worker that fails all it is sent at once is always the one with the least to do, and answers probes: one
+// txn used up all its postings there, and once-only ones were lost by the dozen.
+func TestWorkerThatFailsAllDrawsNoMore(t *testing.T) {
+	s := started(plainTerms, 2)
+	now := settle(t, s, 1000)
+	arrive(s, now, "x", 0, 1000)
+	first := mustPost(t, s, now).Worker
+	for i := range 3 {
+		s.Ended(now, "x", i, Erred, false, NoLoad)
+		if p := mustPost(t, s, now); i == 0 && p.Worker == first {
+			t.Fatal("back where it failed")
+		}
+		s.Started(now, "x", i+1)
+		s.Probed(now, first, Done, NoLoad)
+		now += 10000
+	}
+	for _, w := range s.list {
+		if w.bad, w.badTill = 0, 0; w.ID == first {
+			w.bad, w.badTill = 2, now
+		}
+	}
+	for i := range 3 {
+		arrive(s, now, fmt.Sprint("once", i), 1, 1000)
+		if p := mustPost(t, s, now); p.Worker == first {
+			t.Error("a once-only txn is the trial")
+		} else {
+			s.Started(now, p.Ref, 0)
+			s.Ended(now+1, p.Ref, 0, Done, true, NoLoad)
+		}
+		now += 10
+	}
+}
+
 // A cut link gives neither resets nor failed connections to what is out already: the first connection that
 // fails is the sign, and what may run again goes to another worker.
 func TestDoubtfulPostingsGetSecondCopies(t *testing.T) {
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -177,6 +177,8 @@
 	fullWith int
 	fails    int // in a row
 	aside    float64
+	bad      int // postings that ended badly, in a row, and until when it stands aside for that
+	badTill  float64
 	probing  bool
 	probedAt float64
 	heardAt  float64   // when it last began or settled a posting, or answered a probe
