Bodies bounded by memory, ambiguous fields refused, outcomes by a response's head, notes read at once

A repeated Request-Id, Idempotency-Key, Request-Timeout or Work-Hint, hex numbers, a mark that is not plain, and a referenced txn without one (its group would drop no repeat) are refused with 400. A client that asks on and reads no answers is cut off. - http1.go: targets with bytes that are not plain ASCII were passed on; workers close on what they can't read. - pool.go: a response 503 with Not-Started whose body never came held its posting to the expiry; the head says it all. Notes were dropped one by one: 64 KiB of line ends cost 2 GB of moves. 'done' without a result was settled with an empty one, bad UTF-8 with another text. Each has a test that fails without it, but for the moves.

--- a/cmd/shalebeam/main.go
+++ b/cmd/shalebeam/main.go
@@ -64,8 +64,8 @@
 }
 
 func main() {
-	// Before all else, since SIGHUP would end the program. One that comes while a file is read waits for its turn,
-	// and any more of them tell nothing new.
+	// Before all else, since SIGHUP would end the program. One that comes while a file is read waits for its
+	// turn, and any more of them tell nothing new.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	var cli struct {
@@ -73,6 +73,7 @@
 		Check   check   `cmd:"" help:"Check a configuration and exit."`
 		Version version `cmd:"" help:"Print the version."`
 	}
-	k := kong.Parse(&cli, kong.Bind(hup), kong.Name("shalebeam"), kong.Description("A scheduler that pushes txns to workers."))
+	k := kong.Parse(&cli, kong.Bind(hup), kong.Name("shalebeam"),
+		kong.Description("A scheduler that pushes txns to workers."))
 	k.FatalIfErrorf(k.Run())
 }
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -36,7 +36,7 @@
 	s.gets(c, 200, "a\nb")
 }
 
-// A kept connection may be closing at the other end: a once-only txn, whose reset is final, goes on a new one.
+// A kept connection may be closing at the other end: a once-only txn goes on a new one, where a reset is rarer.
 func TestOnceOnlyGetsANewConnection(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
@@ -67,6 +67,11 @@
 	}{
 		"503 not started": {func(c *call) { c.status(503, "1") }, true},
 		"504 not started": {func(c *call) { c.status(504, "1") }, true},
+		"503 cut off": {func(c *call) {
+			c.raw("HTTP/1.1 503 -\r\nNot-Started: 1\r\nContent-Length: 9\r\n\r\n")
+		}, true},
+		"no result":       {func(c *call) { c.note("done", ""); c.end() }, false},
+		"result not text": {func(c *call) { c.note("done", ",\"result\":\"\xff\""); c.end() }, false},
 		"returned":        {func(c *call) { c.note("returned", ""); c.end() }, true},
 		"503":             {func(c *call) { c.status(503, "") }, false},
 		"503 started":     {func(c *call) { c.status(503, "0") }, false},
@@ -467,8 +472,8 @@
 	s.serves()
 }
 
-// Connections that say nothing, ask for what is of no use and stay, or send half a head, are no bound to usual
-// clients: those that were here longest go. (They held all descriptors, and usual clients were turned away.)
+// Connections that say nothing, ask for what is of no use and stay, or send half a head, keep no usual client
+// out: those that were here longest go. (They held all descriptors, and usual clients were turned away.)
 func TestBadClientsLeaveRoom(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
@@ -521,7 +526,8 @@
 	for i := range 4 {
 		p := s.call()
 		p.settle("ok")
-		if w, err := http.ReadResponse(bufio.NewReader(conns[p.id()[1]-'0']), nil); err != nil || w.StatusCode != 200 {
+		w, err := http.ReadResponse(bufio.NewReader(conns[p.id()[1]-'0']), nil)
+		if err != nil || w.StatusCode != 200 {
 			t.Fatal(i, w, err)
 		}
 	}
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -325,8 +325,8 @@
 func (r *Request) first(text string) error {
 	part := strings.Split(text, " ")
 	if len(part) != 3 || !token(part[0]) || part[1] == "" || part[1][0] != '/' && part[1] != "*" ||
-		strings.ContainsRune(part[1], '\t') {
-		return bad("bad request line")
+		strings.ContainsFunc(part[1], func(c rune) bool { return c <= ' ' || c > '~' }) {
+		return bad("bad request line") // a target of other bytes is one that workers can't read
 	}
 	r.Method, r.Target = part[0], part[1]
 	return r.version(part[2])
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"strconv"
 	"strings"
 
@@ -13,8 +12,10 @@
 )
 
 const (
-	headMost = 16 << 10
-	bodyMost = 64 << 10
+	headMost     = 16 << 10
+	bodyMost     = 64 << 10
+	memoryUntold = 64
+	bodyPart     = 8 // of the memory goes to bodies: each is held about twice, and the collector needs as much
 	// gnet keeps one ring buffer a direction as long as what waits there fits: a message does.
 	readCap  = 64 << 10
 	writeCap = 128 << 10
@@ -45,6 +46,8 @@
 	s      *Scheduler
 	all    []*client
 	most   int
+	held   int // bytes of bodies, and how many there may be
+	room   int
 	saidAt float64 // when the bound was last logged
 }
 
@@ -60,6 +63,7 @@
 	full  bool    // taken beyond the bound: its request is declined at once
 	begun bool    // part of a request has come
 	reads bool    // traffic is at work on it
+	held  int     // bytes of its request's body
 	last  bool    // the connection ends after this answer
 	ends  bool    // the last answer is being written
 	shut  bool    // the answer was written, and no more goes out
@@ -69,6 +73,11 @@
 
 func (cs *clients) init(s *Scheduler) {
 	cs.s = s
+	mb := s.node.Limits.MemoryMB
+	if mb <= 0 {
+		mb = memoryUntold
+	}
+	cs.room = mb << 20 / bodyPart
 	cs.most = s.sockets() - ownSockets - s.lanesMost() - s.dialsMost() - spareClients
 }
 
@@ -158,6 +167,7 @@
 	cs.all[c.at].at = c.at
 	cs.all = cs.all[:end]
 	c.conn = nil
+	c.hold(0)
 	if t := c.t; t != nil {
 		c.t = nil
 		c.s.drive.gone(t)
@@ -190,6 +200,10 @@
 			c.answer(e.Status, e.Reason+"\n", -1)
 			return
 		}
+		if c.hold(len(c.req.Body())); c.s.clients.held > c.s.clients.room {
+			c.answer(503, "no room for the body\n", -1)
+			return
+		}
 		if !c.req.Done() {
 			if c.req.HeadDone() && !before && c.req.Fields().Has("expect", "100-continue") {
 				_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -208,6 +222,12 @@
 	}
 }
 
+// hold counts the bytes that the request's body takes.
+func (c *client) hold(n int) {
+	c.s.clients.held += n - c.held
+	c.held = n
+}
+
 // serve takes a request that has come whole.
 func (c *client) serve() {
 	c.last = c.req.Close() || c.full
@@ -268,6 +288,19 @@
 	if a.txn.Ref == "" || len(a.txn.Ref) > refMost || strings.ContainsFunc(a.txn.Ref, other) {
 		return a, "Request-Id is missing, too long or not plain"
 	}
+	if strings.ContainsFunc(a.mark, other) || a.mark == "" && row.Effect == balance.Referenced {
+		return a, "Idempotency-Key is missing or not plain" // without it the group drops no repeat
+	}
+	seen := map[string]bool{}
+	for _, x := range f {
+		switch x.Name {
+		case "request-id", "idempotency-key", "request-timeout", "work-hint":
+			if seen[x.Name] {
+				return a, "repeated " + x.Name // a worker might go by the other one
+			}
+			seen[x.Name] = true
+		}
+	}
 	if v, ok := f.Get("request-timeout"); ok {
 		left, ok := span(v)
 		if !ok {
@@ -277,16 +310,15 @@
 		a.txn.Left = min(left, row.Expiry)
 	}
 	if v, ok := f.Get("work-hint"); ok {
-		us, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(us >= 0) || math.IsInf(us, 0) {
+		us, ok := decimal(v)
+		if !ok {
 			return a, "bad Work-Hint"
 		}
 		a.txn.Hint = us / 1000
 	}
 	for pair := range strings.SplitSeq(get("request-info"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		x, err := strconv.ParseFloat(value, 64)
-		if name == "slots" && err == nil && x >= 0 && !math.IsInf(x, 0) { // what else it tells no choice needs
+		if x, ok := decimal(value); name == "slots" && ok { // what else it tells no choice needs
 			a.txn.Slots = x
 		}
 	}
@@ -298,8 +330,8 @@
 	if v == "" {
 		return 0, false
 	}
-	x, err := strconv.ParseFloat(v[:len(v)-1], 64)
-	if err != nil || !(x >= 0) || math.IsInf(x, 0) {
+	x, ok := decimal(v[:len(v)-1])
+	if !ok {
 		return 0, false
 	}
 	switch v[len(v)-1] {
@@ -311,6 +343,12 @@
 	return 0, false
 }
 
+// decimal reads a number of 0 or more. No names of numbers and no hex, which ParseFloat takes.
+func decimal(v string) (float64, bool) {
+	x, err := strconv.ParseFloat(v, 64)
+	return x, err == nil && x >= 0 && strings.Trim(v, "0123456789.eE+-") == ""
+}
+
 func cookie(all, name string) string {
 	for pair := range strings.SplitSeq(all, ";") {
 		if k, v, ok := strings.Cut(strings.TrimSpace(pair), "="); ok && k == name {
@@ -331,8 +369,9 @@
 	if c == nil || c.conn == nil {
 		return
 	}
-	// What a scheduler that stops turns away may go to another.
-	c.last = c.last || c.t == nil || c.s.parting(c.s.now()) || c.s.phase == draining && status != 200
+	// One that asks on and reads no answers is cut off. What a stopping scheduler turns away may go to another.
+	c.last = c.last || c.t == nil || c.conn.OutboundBuffered() > 0
+	c.last = c.last || c.s.parting(c.s.now()) || c.s.phase == draining && status != 200
 	b := make([]byte, 0, 160+len(body))
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
@@ -359,6 +398,7 @@
 	}
 	c.since, c.begun, c.used, c.ends = c.s.now(), false, c.used || c.t != nil, c.last
 	c.t = nil
+	c.hold(0)
 	c.req.Reset(requestLimits)
 	if _, err := c.conn.Write(b); err != nil || c.conn == nil {
 		return
--- a/scheduler/clients_test.go
+++ b/scheduler/clients_test.go
@@ -1,11 +1,42 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 
 	"shalebeam/balance"
 )
 
+// Bodies on their way are held within a part of the memory: what goes beyond is turned away at once, and what
+// is answered or leaves gives its part back.
+func TestBoundOnBodies(t *testing.T) {
+	s, _ := onceOnly(t)
+	s.clients.room = 8 * 60000
+	client := func() (*client, *fakeConn) {
+		f := &fakeConn{in: []byte("POST /buy HTTP/1.1\r\nHost: h\r\nContent-Length: 65000\r\n\r\n" +
+			strings.Repeat("x", 60000))}
+		c := &client{s: s, conn: f, at: len(s.clients.all)}
+		f.of = c
+		c.req.Reset(requestLimits)
+		s.clients.all = append(s.clients.all, c)
+		c.traffic(f)
+		return c, f
+	}
+	first, _ := client()
+	for range 7 {
+		if _, f := client(); f.wrote != "" {
+			t.Fatalf("got %q within the bound", f.wrote)
+		}
+	}
+	if _, f := client(); !strings.HasPrefix(f.wrote, "HTTP/1.1 503 ") {
+		t.Errorf("got %q beyond the bound", f.wrote)
+	}
+	first.close()
+	if _, f := client(); f.wrote != "" {
+		t.Errorf("got %q once one had left", f.wrote)
+	}
+}
+
 func TestRequestFields(t *testing.T) {
 	s, _ := onceOnly(t)
 	s.node.told.Tenants = []string{"a", "b"}
@@ -35,9 +66,17 @@
 	}
 	for _, head := range []string{"", "Request-Id: a b\r\n", "Request-Id: \xff\r\n",
 		bare + "Request-Timeout: m\r\n", bare + "Request-Timeout: -1m\r\n",
+		bare + "Request-Timeout: 0x1p9m\r\n", bare + "Request-Timeout: 5m\r\nRequest-Timeout: 6m\r\n",
+		bare + "Request-Timeout: Infm\r\n", bare + bare, bare + "Idempotency-Key: \xff\r\n",
 		bare + "Work-Hint: -5\r\n", bare + "Work-Hint: Inf\r\n"} {
 		if _, wrong := read(head); wrong == "" {
 			t.Errorf("%q was taken", head)
 		}
 	}
+	// Without its mark a group drops no repeat.
+	if s.node.told.Terms.Schemes[0].Effect = balance.Referenced; true {
+		if _, wrong := read(bare); wrong == "" {
+			t.Error("a referenced txn without a mark was taken")
+		}
+	}
 }
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -220,7 +220,7 @@
 	})
 }
 
-// parting tells whether clients' connections are closed as they fall idle: in the last third of a drain. Until
+// parting tells whether clients' connections are closed as they fall idle: in the last third of a drain. Till
 // then those that clients have serve them as ever: the other schedulers may be down too, as in a release.
 func (s *Scheduler) parting(now float64) bool {
 	return s.phase == draining && now > s.drainBy-(s.drainBy-s.drained)/3
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
@@ -388,7 +389,11 @@
 			l.close()
 			return
 		}
-		if l.resp.Done() {
+		if l.p != nil && l.resp.HeadDone() && l.resp.Status != 200 {
+			l.state, l.since = tail, l.s.now() // the head says it all, and the rest may never come
+			l.end(l.status())
+		}
+		if l.conn != nil && l.resp.Done() {
 			load := balance.NoLoad
 			if l.probing {
 				load = l.load(l.resp.Body())
@@ -440,31 +445,38 @@
 type note struct {
 	ID     string          `json:"id"`
 	State  string          `json:"state"`
-	Result string          `json:"result"`
+	Result *string         `json:"result"`
 	Load   json.RawMessage `json:"load"`
 }
 
-// notes reads the lines that have come.
+// notes reads the lines that have come. They are dropped all at once: one by one a worker that sends nothing
+// but line ends would hold up the loop.
 func (l *lane) notes() error {
+	body, at := l.resp.Body(), 0
+	defer func() { l.resp.Take(at) }()
 	for l.p != nil {
-		body := l.resp.Body()
-		i := bytes.IndexByte(body, '\n')
+		i := bytes.IndexByte(body[at:], '\n')
 		if i < 0 && l.resp.Done() {
-			i = len(body)
+			i = len(body) - at
 		}
-		if i < 0 || len(body) == 0 {
+		if i < 0 || at == len(body) {
 			return nil
 		}
 		var n note
-		if text := bytes.TrimSpace(body[:i]); len(text) > 0 {
-			if err := json.Unmarshal(text, &n); err != nil {
-				return err
-			}
-			if n.ID != l.p.t.ref {
-				return &http1.Error{Status: 502, Reason: "a note of another request"}
-			}
+		text := bytes.TrimSpace(body[at : at+i])
+		if at = min(at+i+1, len(body)); len(text) == 0 {
+			continue
+		}
+		if err := json.Unmarshal(text, &n); err != nil {
+			return err
+		}
+		if n.ID != l.p.t.ref {
+			return &http1.Error{Status: 502, Reason: "a note of another request"}
+		}
+		// What no worker made is no result: none at all, or bytes that a reader of JSON would replace.
+		if n.State == "done" && (n.Result == nil || !utf8.Valid(text)) {
+			return &http1.Error{Status: 502, Reason: "done without a result that can be read"}
 		}
-		l.resp.Take(min(i+1, len(body)))
 		switch n.State {
 		case "started":
 			l.s.drive.started(l.p)
@@ -483,7 +495,11 @@
 
 func (l *lane) last(how balance.Outcome, n note) {
 	l.state, l.since = tail, l.s.now()
-	l.finish(how, l.load(n.Load), n.Result)
+	result := ""
+	if n.Result != nil {
+		result = *n.Result
+	}
+	l.finish(how, l.load(n.Load), result)
 }
 
 // sweep closes connections that have been idle for long, and ends probes that get no answer.
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -31,7 +31,8 @@
 	c.in = c.in[n:]
 	return n, nil
 }
-func (c *fakeConn) Fd() int { return -1 }
+func (c *fakeConn) Fd() int              { return -1 }
+func (c *fakeConn) InboundBuffered() int { return len(c.in) }
 func (c *fakeConn) Write(b []byte) (int, error) {
 	c.wrote += string(b)
 	return len(b), nil
