--- a/balance/balance.go
+++ b/balance/balance.go
@@ -458,12 +458,8 @@
 
 func (s *Scheduler) rerank(now float64) {
 	s.forget(now)
-	s.ranked, s.turns, s.running = s.ranked[:0], s.turns[:0], 0
-	for _, w := range s.list {
-		if w.State == Running {
-			s.running++
-		}
-	}
+	s.ranked, s.turns = s.ranked[:0], s.turns[:0]
+	s.running = len(slices.DeleteFunc(slices.Clone(s.list), func(w *worker) bool { return w.State != Running }))
 	for _, w := range s.list {
 		if w.State != Running {
 			continue
@@ -890,8 +886,8 @@
 		}
 		f := Final{Ref: t.Ref, Declined: s.mayDecline(t)}
 		// One that can still be in time may find a slot at once on its next try; long advice made it late.
-		if f.Declined && s.spare(now, t) <= 0 {
-			f.Stay = min(s.terms.MaxStay, max(s.stopAt-now, 0)) // once this one has ended others may be free
+		if f.Declined && (s.spare(now, t) <= 0 || s.stopAt < math.Inf(1)) {
+			f.Stay = min(s.terms.MaxStay, max(s.stopAt-now, 0)) // kept connections lead here again
 		}
 		s.end(t)
 		return f, true
@@ -915,7 +911,11 @@
 	if len(t.posts) >= s.terms.MaxPosts || t.ran && row.Effect == OnceOnly {
 		return 0
 	}
-	last := min(t.until-2*s.terms.Tick, s.stopAt-2*t.run()) // what it can hardly do before a stop others may
+	last, needs := t.until-2*s.terms.Tick, t.run()
+	if row.Effect != Repeatable {
+		needs *= 2 // cut at a stop it can't be declined
+	}
+	last = min(last, s.stopAt-needs) // what can't be done before a stop others may do
 	for _, p := range t.posts {
 		if p.ran && row.Effect == Referenced {
 			last = min(last, p.at+row.Window)
