--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,6 +36,7 @@
 	shareOver     = 4000.0 // short, as clients come in bursts, yet a dozen txns of most tenants
 	asideFirst    = 500.0  // then twice as long each time: a restart takes seconds, a slip less
 	watchFirst    = 250.0  // of the same kind, kept well below the time after which the list counts as known
+	watchGap      = 100.0  // between the first calls of two schedulers that start together
 	manyPeers     = 5      // each then sees a fifth of the work at the most, about a job a worker
 	coldPart      = 0.5    // of the cold budget: hints are rough, and a txn may cost many times its own
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
@@ -191,6 +192,8 @@
 	s.stale = true
 	if s.born < 0 {
 		s.born = now
+		// There is a list to begin with: the watch can wait for this scheduler's turn.
+		s.watchAt = now + s.watchRound()*float64(s.terms.Me)/float64(max(s.terms.Peers, 1))
 	}
 }
 
@@ -203,7 +206,15 @@
 	}
 	// A list service that turns calls away is not helped by all schedulers calling at once again.
 	s.watchBad = min(s.watchBad+1, 4)
-	s.watchAt = now + watchFirst*float64(int(1)<<s.watchBad)*(0.5+float64(s.chance()%1024)/1024)
+	wait := watchFirst * float64(int(1)<<s.watchBad) * 1.5
+	s.watchAt = now + max(wait, s.watchRound())*(1+2*float64(s.chance()%1024)/1024)/3
+}
+
+// watchRound is how long all schedulers take to call one after the other, if each is to call in time. A call that
+// was given up in the list service's queue is still worked through there: when all called at once after a restart,
+// those behind were given up too, called again, and most schedulers had no list for as long as that went on.
+func (s *Scheduler) watchRound() float64 {
+	return min(watchGap*float64(s.terms.Peers-1), 0.8*s.terms.AskIn)
 }
 
 // Arrived takes a new txn, which is now owed one final answer.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -419,6 +419,40 @@
 	}
 }
 
+// Of 80 schedulers that began together and called at once, discovery answered 31 in time. The others' calls, given up
+// in its queue, kept it busy, and those 48 had no list for 20 s.
+func TestAfterAMassRestartDiscoveryIsCalledInTurn(t *testing.T) {
+	terms := plainTerms
+	terms.MustAsk, terms.AskIn, terms.Peers = true, 10000, 80
+	fails := func(ok bool) (most int) {
+		bySecond := map[int]int{}
+		for me := range terms.Peers {
+			terms.Me, terms.Seed = me, uint64(me+1)
+			s, last := started(terms, 3), 0.0
+			for now := 0.0; now < 40000; now = max(s.Wake(now), now+terms.Tick) {
+				if !s.NextWatch(now) {
+					continue
+				}
+				if now-last > terms.AskIn {
+					t.Errorf("scheduler %d has not asked for %.0f ms", me, now-last)
+				}
+				last = now
+				bySecond[int(now/1000)]++
+				s.Watched(now+2000, ok)
+			}
+		}
+		for _, n := range bySecond {
+			most = max(most, n)
+		}
+		return most
+	}
+	for _, ok := range []bool{true, false} {
+		if most := fails(ok); most > 2*terms.Peers/8 {
+			t.Errorf("answered %v: %d calls in one second, %d even ones are %d", ok, most, terms.Peers, terms.Peers/8)
+		}
+	}
+}
+
 // A client told to stay away for long came back late, though it had only met three full workers.
 func TestUsedUpPostingsGiveNoLongAdvice(t *testing.T) {
 	terms := plainTerms
