--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,6 +38,7 @@
 	watchFirst    = 250.0  // of the same kind, kept well below the time after which the list counts as known
 	watchGap      = 100.0  // between the first calls of two schedulers that start together
 	manyPeers     = 5      // each then sees a fifth of the work at the most, about a job a worker
+	turnsShared   = 8      // among many: the demand of those with a turn is so many times what a cold worker is given
 	coldPart      = 0.5    // of the cold budget: hints are rough, and a txn may cost many times its own
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
@@ -749,19 +750,26 @@
 	return min(s.terms.ColdFrom+(1-s.terms.ColdFrom)*max(age, 0)/s.terms.ColdFor, 1)
 }
 
-// turn tells whether this scheduler is one of those whose turn it is at a cold worker, and how many they are:
-// one, and among many twice as many as bring the worker its part of the work, since few have a txn that fits.
-func (s *Scheduler) turn(now float64, w *worker) (int, bool) {
+// turn tells whether it is this scheduler's turn at a cold worker, and with which part of the budget of a turn.
+// Few share it evenly. Of many each has only a txn or two in that time and few of them fit, so many have a turn
+// together: the first with all of it, for the heavy, the k-th with a k-th part, which few use up.
+func (s *Scheduler) turn(now float64, w *worker) (part float64, mine bool) {
 	age, peers := now-w.Start, max(s.terms.Peers, 1)
 	if peers == 1 {
 		return 1, true
 	}
 	at := int(age / s.terms.Fall)
 	each := 2 * float64(peers) / float64(max(s.running, 1))
+	if s.thin() {
+		each *= min(max(3*each, 1), turnsShared) // the fewer txns each has of a worker's part, the more may share
+	}
 	k, most := max(int(each*s.share(float64(at)*s.terms.Fall)), 1), max(int(each), 1)
 	// Each worker's turns begin elsewhere, or one scheduler would have all workers of a deploy at once.
 	place := (s.terms.Me - at*most - int(w.hash%uint32(peers))) % peers
-	return k, (place+peers)%peers < k
+	if place = (place + peers) % peers; !s.thin() {
+		return 1 / float64(k), place < k
+	}
+	return 1 / float64(place+1), place < k
 }
 
 // carries estimates what a warm worker of the same size carries at the least, in jobs at the pace of their
@@ -805,16 +813,15 @@
 	if now < s.born+s.terms.Fall {
 		return false // what this scheduler sent before its own restart is forgotten, and still counts
 	}
-	k, mine := s.turn(now, w)
+	part, mine := s.turn(now, w)
 	if !mine {
 		return false
 	}
 	share := s.share(now - w.Start - s.terms.Fall)
-	budget := s.terms.FallTimes * share * s.terms.Fall * s.carries(now, w) * coldPart
+	budget := s.terms.FallTimes * share * s.terms.Fall * s.carries(now, w) * coldPart * part
 	if !s.thin() && s.terms.Peers > 1 {
 		budget /= 2
 	}
-	budget /= float64(k)
 	alone := true
 	for _, x := range w.sent {
 		if now-x.at <= s.terms.Fall {
