--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,8 +38,9 @@
 	watchFirst    = 250.0  // of the same kind, kept well below the time after which the list counts as known
 	watchGap      = 100.0  // between the first calls of two schedulers that start together
 	manyPeers     = 5      // each then sees a fifth of the work at the most, about a job a worker
-	turnsShared   = 8      // among many: the demand of those with a turn is so many times what a cold worker is given
-	coldPart      = 0.5    // of the cold budget: hints are rough, and a txn may cost many times its own
+	wideMost      = 8.0    // see wide: with more of them the sums of what they send vary too much
+	coldPart      = 0.5    // of the cold budget, among few: hints are rough, and a txn may cost many times its own
+	warmEarly     = 2.0    // among many: a worker is taken to be warm so many times sooner than at the latest
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
 )
@@ -507,7 +508,7 @@
 	among := func(w *worker) bool { return w != nil && w.placed && (kind < 0 || w.rankKind == kind) }
 	// Among many a turn at a cold worker meets few txns, and left to the ranks most of it would pass unused.
 	for _, w := range s.turns {
-		inTime := t.run() < s.share(now-w.Start)*(t.due-now)
+		inTime := t.run() < s.share(warmEarly*(now-w.Start))*(t.due-now)
 		if s.thin() && inTime && among(w) && s.fits(now, t, w) {
 			return w
 		}
@@ -750,62 +751,58 @@
 	return min(s.terms.ColdFrom+(1-s.terms.ColdFrom)*max(age, 0)/s.terms.ColdFor, 1)
 }
 
-// turn tells whether it is this scheduler's turn at a cold worker, and with which part of the budget of a turn.
-// Few share it evenly. Of many each has only a txn or two in that time and few of them fit, so many have a turn
-// together: the first with all of it, for the heavy, the k-th with a k-th part, which few use up.
+// wide is how many times as many schedulers share a turn as bring a cold worker its part of the work. Few bring
+// it together in any case. Of many each has only a txn or two in that time, and few of them fit.
+func (s *Scheduler) wide() float64 {
+	peers := float64(s.terms.Peers)
+	return max(min(6*peers/float64(max(s.running, 1)), peers/10, wideMost), 1)
+}
+
+// turn tells whether it is this scheduler's turn at a cold worker, and with which part of the budget. Few share
+// half of it evenly, or a quarter, as they fill both turns that a window may meet. Where many have a turn the first
+// may send all of it, for the heavy, and the k-th one txn of a k-th part at the most, which few use up.
 func (s *Scheduler) turn(now float64, w *worker) (part float64, mine bool) {
-	age, peers := now-w.Start, max(s.terms.Peers, 1)
+	age, peers, wide := now-w.Start, max(s.terms.Peers, 1), s.wide()
 	if peers == 1 {
-		return 1, true
+		return coldPart, true
 	}
 	at := int(age / s.terms.Fall)
-	each := 2 * float64(peers) / float64(max(s.running, 1))
-	if s.thin() {
-		each *= min(max(3*each, 1), turnsShared) // the fewer txns each has of a worker's part, the more may share
-	}
+	each := 2 * wide * float64(peers) / float64(max(s.running, 1))
 	k, most := max(int(each*s.share(float64(at)*s.terms.Fall)), 1), max(int(each), 1)
 	// Each worker's turns begin elsewhere, or one scheduler would have all workers of a deploy at once.
 	place := (s.terms.Me - at*most - int(w.hash%uint32(peers))) % peers
-	if place = (place + peers) % peers; !s.thin() {
-		return 1 / float64(k), place < k
-	}
-	return 1 / float64(place+1), place < k
+	place = (place + peers) % peers
+	switch {
+	case wide > 1:
+		part = 1 / float64(place+1)
+	case s.thin():
+		part = coldPart / float64(k)
+	default:
+		part = coldPart / 2 / float64(k)
+	}
+	return part, place < k
 }
 
 // carries estimates what a warm worker of the same size carries at the least, in jobs at the pace of their
-// hints: the most own ones seen together, at the pace that they had there, or among many the even part of what
-// schedulers like this one had settled. It is worked out once a ranking.
-func (s *Scheduler) carries(now float64, w *worker) float64 {
+// hints: the most own ones seen together, at the pace that they had there. It is worked out once a ranking.
+// Among many own ones seldom meet, so it is about one for all: by what each had settled lately some took a worker
+// for five times what others did, and they alone came near the limit.
+func (s *Scheduler) carries(w *worker) float64 {
 	like := size{w.Kind, w.Weight}
 	if _, ok := s.carried[like]; !ok {
-		s.carried[like] = s.carriesNow(now, w)
-	}
-	return s.carried[like]
-}
-
-func (s *Scheduler) carriesNow(now float64, w *worker) float64 {
-	slots, fleet, work := 1.0, 0.0, 0.0
-	for _, o := range s.list {
-		if o.Kind == w.Kind && o.Weight <= w.Weight*1.01 {
-			slots = max(slots, float64(o.most)*min(o.pace.at(0.5, 1), 1))
-		}
-		fleet++
-		if s.cold(now, o) {
-			fleet -= 1 - s.share(now-o.Start)
+		slots := 1.0
+		for _, o := range s.list {
+			if o.Kind == w.Kind && o.Weight <= w.Weight*1.01 {
+				slots = max(slots, float64(o.most)*min(o.pace.at(0.5, 1), 1))
+			}
 		}
+		s.carried[like] = slots
 	}
-	if !s.thin() || len(s.settled) < samplesKept {
-		return slots
-	}
-	for _, x := range s.settled {
-		work += x.work
-	}
-	rate := work / max(now-s.settled[0].at, 1)
-	return max(slots, rate*float64(max(s.terms.Peers, 1))/max(fleet, 1))
+	return s.carried[like]
 }
 
-// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, up to
-// its part of half the budget of the window; with few, who fill both turns a window may meet, half of that.
+// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, up to its
+// part of the budget of the window.
 func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
 	if !s.cold(now, w) {
 		return true
@@ -818,10 +815,7 @@
 		return false
 	}
 	share := s.share(now - w.Start - s.terms.Fall)
-	budget := s.terms.FallTimes * share * s.terms.Fall * s.carries(now, w) * coldPart * part
-	if !s.thin() && s.terms.Peers > 1 {
-		budget /= 2
-	}
+	budget := s.terms.FallTimes * share * s.terms.Fall * s.carries(w) * part
 	alone := true
 	for _, x := range w.sent {
 		if now-x.at <= s.terms.Fall {
@@ -829,6 +823,9 @@
 			alone = false
 		}
 	}
+	if !alone && part < 1 && s.wide() > 1 {
+		return false // many small ones of each were too much together
+	}
 	return s.coldCost(t) <= budget || t.Hint <= 0 && alone
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -388,7 +388,7 @@
 				parts += part
 			}
 		}
-		if most := 2 * turnsShared * terms.Peers / 20; n == 0 || n > most {
+		if most := 2 * wideMost * terms.Peers / 20; n == 0 || n > most {
 			t.Errorf("at age %.0f it is the turn of %d, at most %d may share it", age, n, most)
 		}
 		// With half of the workers cold two in three txns found no turn, and the cold ones ran one job each.
@@ -429,6 +429,36 @@
 	}
 }
 
+// Where jobs are small each of those with a turn used up its part, and together they pushed the worker over.
+func TestInAWideTurnOnlyTheFirstSendsMoreThanOne(t *testing.T) {
+	terms := plainTerms
+	terms.Peers = 80
+	const start, now = 1e6, 1e6 + 9000
+	seen := map[bool]int{}
+	for me := range terms.Peers {
+		terms.Me = me
+		s := started(terms, 60)
+		s.ListChanged(start, false, []Listed{{ID: "fresh", Start: start, Weight: 1}})
+		s.rerank(now)
+		if len(s.turns) == 0 {
+			continue
+		}
+		w := s.turns[0]
+		part, _ := s.turn(now, w)
+		sent := 0
+		for ; s.warm(now, &txn{Txn: Txn{Hint: 10}, cost: 10}, w); sent++ {
+			w.sent = append(w.sent, sending{now, 10})
+		}
+		if first := part == 1; first != (sent > 1) {
+			t.Errorf("scheduler %d with a part of %.2f sends %d small txns", me, part, sent)
+		}
+		seen[part == 1]++
+	}
+	if seen[true] != 1 || seen[false] < 5 {
+		t.Errorf("%d schedulers are the first and %d have a turn too", seen[true], seen[false])
+	}
+}
+
 // Of 80 schedulers that began together and called at once, discovery answered 31 in time. The others' calls, given up
 // in its queue, kept it busy, and those 48 had no list for 20 s.
 func TestAfterAMassRestartDiscoveryIsCalledInTurn(t *testing.T) {
@@ -871,7 +901,7 @@
 		return
 	}
 	key := fmt.Sprint(p.Worker, row.Start)
-	w.slots = max(w.slots, w.scheds[i].carries(w.now, w.scheds[i].byID[p.Worker]))
+	w.slots = max(w.slots, w.scheds[i].carries(w.scheds[i].byID[p.Worker]))
 	w.sent[key] = append(w.sent[key], sending{w.now, w.scheds[i].txns[p.Ref].cost})
 	sum := 0.0
 	for _, x := range w.sent[key] {
