--- a/lab/sim/discovery.go
+++ b/lab/sim/discovery.go
@@ -17,6 +17,9 @@
 	busy   float64 // when it is done with the calls it has
 }
 
+// callFor is how long a call that begins a watch waits for its turn.
+const callFor = 2000.0
+
 type entry struct {
 	seq int
 	row balance.Listed
@@ -97,8 +100,8 @@
 	}
 	s.queued = true
 	d.busy = max(d.busy, d.w.now) + 1000/d.w.p.Discovery.Calls
-	gen := s.gen
-	lives := func() bool { return s.gen == gen && s.alive }
+	gen, no := s.gen, s.callNo
+	lives := func() bool { return s.gen == gen && s.alive && s.callNo == no }
 	d.w.at(d.busy, func() {
 		if !lives() {
 			return
@@ -132,10 +135,15 @@
 // ask takes a scheduler's call for a watch.
 func (d *discovery) ask(s *proc) {
 	s.asked = d.w.now
-	gen := s.gen
-	lives := func() bool { return s.gen == gen && s.alive }
+	s.callNo++
+	d.w.got.Fleet.Calls++
+	gen, no := s.gen, s.callNo
+	lives := func() bool { return s.gen == gen && s.alive && s.callNo == no }
 	fail := func() {
 		if lives() && !s.watch {
+			d.w.got.Fleet.Failed++
+			s.callNo++
+			s.queued = false // given up, yet its turn in the queue is worked through
 			s.d.Watched(s.clock(), false)
 			s.pull()
 		}
@@ -144,6 +152,7 @@
 		d.w.after(float64(d.w.p.Schedulers.Dial), fail)
 		return
 	}
+	d.w.after(callFor, fail)
 	d.w.net.send(s.part(), script.Part{Kind: "discovery"}, lives, func() {
 		if d.down {
 			d.w.net.send(script.Part{Kind: "discovery"}, s.part(), lives, fail)
--- a/lab/sim/procs.go
+++ b/lab/sim/procs.go
@@ -33,6 +33,7 @@
 	timer    float64
 	watch    bool
 	queued   bool    // discovery has something for it on the way
+	callNo   int     // of its call there that it has not given up
 	asked    float64 // when it last asked discovery
 	known    int     // the version of the list it has
 	pulling  bool
@@ -313,6 +314,7 @@
 	}
 	if body, ok := s.d.NextMessage(now); ok {
 		s.decided(now, "message", string(body), 0)
+		s.w.got.Fleet.Messages++
 		for _, o := range s.w.procs {
 			if o != s && s.w.net.r.Float64() >= s.w.net.loss() {
 				gen := o.gen
@@ -368,6 +370,7 @@
 
 // dial makes a connection: up after a round trip, refused as soon, or never, which a time-out tells.
 func (s *proc) dial(b *box, lives func() bool, up func(boxGen int), failed func()) {
+	s.w.got.Fleet.Dials++
 	ended := false
 	once := func(f func()) {
 		if !ended && lives() {
@@ -404,6 +407,7 @@
 // probe asks a worker whether it answers.
 func (s *proc) probe(id string) {
 	b := s.w.disc.byName[id]
+	s.w.got.Fleet.Probes++
 	gen, told := s.gen, false
 	tell := func(how balance.Outcome, l balance.Load) {
 		if !told && s.gen == gen && s.alive {
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -118,6 +118,7 @@
 	w := &world{p: p, seed: seed, policy: name, open: map[int]*call{}, whose: map[*machine.Job]*sent{}, more: true, back: opt.Progress,
 		digest: xxhash.New(),
 		got:    tally.New(p, name, "simulated", seed), stream: load.NewStream(p, seed)}
+	w.got.Fleet = &tally.Fleet{}
 	terms := audit.Terms{Copies: p.Schedulers.Copies, MaxPosts: p.Schedulers.MaxPosts, AnswerIn: answerIn,
 		Grace: float64(p.Discovery.Grace), GivenUp: givenUp, Keep: opt.Keep}
 	for i := range p.Schemes {
--- a/lab/tally/tally.go
+++ b/lab/tally/tally.go
@@ -27,8 +27,9 @@
 	Latency   Latency        `json:"latency_ms"`
 	Curve     [][2]float64   `json:"curve"` // parts, and the latency below which each lies, for a plot
 	Postings  int            `json:"postings"`
-	Busy      float64        `json:"busy"`   // part of the fleet's time that was worked
-	Wasted    float64        `json:"wasted"` // part of that work whose result nobody got
+	Fleet     *Fleet         `json:"fleet,omitempty"` // in simulated time
+	Busy      float64        `json:"busy"`            // part of the fleet's time that was worked
+	Wasted    float64        `json:"wasted"`          // part of that work whose result nobody got
 	Ended     int            `json:"ended_ms"`
 	Steps     int            `json:"steps"`
 	Decisions string         `json:"decisions,omitempty"` // a digest of all, in simulated time
@@ -42,6 +43,15 @@
 	earned    float64
 }
 
+// Fleet counts what all schedulers together ask of the rest, beside postings.
+type Fleet struct {
+	Calls    int `json:"calls"` // for the list
+	Failed   int `json:"failed_calls"`
+	Probes   int `json:"probes"`
+	Dials    int `json:"connections"` // made or tried
+	Messages int `json:"messages"`    // as sent, to any number
+}
+
 // Scheme counts one scheme's jobs by how they ended.
 type Scheme struct {
 	Name     string  `json:"name"`
