--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,7 +40,7 @@
 	watchAtOnce   = 16     // as many as a list service answers before the first of them gives up
 	manyPeers     = 5      // each then sees a fifth of the work at the most, about a job a worker
 	wideMost      = 8.0    // see wide: with more of them the sums of what they send vary too much
-	coldPart      = 0.5    // of the cold budget, among few: hints are rough, and a txn may cost many times its own
+	coldPart      = 0.5    // of the cold budget, among few: hints are rough, a txn may cost many times its own
 	warmEarly     = 2.0    // among many: a worker is taken to be warm so many times sooner than at the latest
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
@@ -213,8 +213,8 @@
 	s.watchAt = now + max(wait, s.watchRound())*(1+float64(s.chance()%1024)/1024)/2
 }
 
-// watchRound is how long all schedulers take to call one after the other, if each is to call in time. A call that
-// was given up in the list service's queue is still worked through there: when all called at once after a restart,
+// watchRound is how long all schedulers take to call one after the other, if each is to call in time. A call
+// given up in the list service's queue is still worked through there: when all called at once after a restart
 // those behind were given up too, called again, and most schedulers had no list for as long as that went on.
 func (s *Scheduler) watchRound() float64 {
 	return min(watchGap*float64(s.terms.Peers-1), 0.8*s.terms.AskIn)
@@ -752,16 +752,16 @@
 	return min(s.terms.ColdFrom+(1-s.terms.ColdFrom)*max(age, 0)/s.terms.ColdFor, 1)
 }
 
-// wide is how many times as many schedulers share a turn as bring a cold worker its part of the work. Few bring
-// it together in any case. Of many each has only a txn or two in that time, and few of them fit.
+// wide is how many times as many schedulers share a turn as bring a cold worker its part of the work. Few
+// bring it together in any case. Of many each has only a txn or two in that time, and few of them fit.
 func (s *Scheduler) wide() float64 {
 	peers := float64(s.terms.Peers)
 	return max(min(6*peers/float64(max(s.running, 1)), peers/10, wideMost), 1)
 }
 
-// turn tells whether it is this scheduler's turn at a cold worker, and with which part of the budget. Few share
-// half of it evenly, or a quarter, as they fill both turns that a window may meet. Where many have a turn the first
-// may send all of it, for the heavy, and the k-th one txn of a k-th part at the most, which few use up.
+// turn tells whether it is this scheduler's turn at a cold worker, and with which part of the budget. Few
+// share half of it evenly, or a quarter, as they fill both turns that a window may meet. Where many have a turn
+// the first may send all of it, for the heavy, the k-th one txn of a k-th part at the most, which few use up.
 func (s *Scheduler) turn(now float64, w *worker) (part float64, mine bool) {
 	age, peers, wide := now-w.Start, max(s.terms.Peers, 1), s.wide()
 	if peers == 1 {
@@ -786,8 +786,8 @@
 
 // carries estimates what a warm worker of the same size carries at the least, in jobs at the pace of their
 // hints: the most own ones seen together, at the pace that they had there. It is worked out once a ranking.
-// Among many own ones seldom meet, so it is about one for all: by what each had settled lately some took a worker
-// for five times what others did, and they alone came near the limit.
+// Among many own ones seldom meet, so it is about one for all: by what each had settled lately some took a
+// worker for five times what others did, and they alone came near the limit.
 func (s *Scheduler) carries(w *worker) float64 {
 	like := size{w.Kind, w.Weight}
 	if _, ok := s.carried[like]; !ok {
@@ -802,8 +802,8 @@
 	return s.carried[like]
 }
 
-// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, up to its
-// part of the budget of the window.
+// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, up to
+// its part of the budget of the window.
 func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
 	if !s.cold(now, w) {
 		return true
