--- a/balance/balance.go
+++ b/balance/balance.go
@@ -760,8 +760,8 @@
 }
 
 // turn tells whether it is this scheduler's turn at a cold worker, and with which part of the budget. Few
-// share half of it evenly, or a quarter, as they fill both turns that a window may meet. Where many have a turn
-// the first may send all of it, for the heavy, the k-th one txn of a k-th part at the most, which few use up.
+// share half of it evenly, or a quarter, as they fill both turns that a window may meet. Where many have a
+// turn the first may send all of it, for the heavy, the k-th one txn of a k-th part at the most.
 func (s *Scheduler) turn(now float64, w *worker) (part float64, mine bool) {
 	age, peers, wide := now-w.Start, max(s.terms.Peers, 1), s.wide()
 	if peers == 1 {
