In a wide cold turn only the first may send a txn without a hint past its part

Seen on reading the change again: of up to sixteen schedulers with a turn each could send one unhinted txn alone, whatever its budget. Line at fault: the exception for unhinted txns in warm. Change: in a wide turn it is the first's alone. The two tests of turns are one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -824,8 +824,8 @@
 			alone = false
 		}
 	}
-	if !alone && part < 1 && s.wide() > 1 {
-		return false // many small ones of each were too much together
+	if part < 1 && s.wide() > 1 {
+		return alone && s.coldCost(t) <= budget // many small ones of each were too much together, or one unhinted
 	}
 	return s.coldCost(t) <= budget || t.Hint <= 0 && alone
 }
