--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,7 +37,6 @@
 	asideFirst    = 500.0  // then twice as long each time: a restart takes seconds, a slip less
 	watchFirst    = 250.0  // of the same kind, kept well below the time after which the list counts as known
 	watchGap      = 100.0  // between the first calls of two schedulers that start together
-	watchAtOnce   = 16     // as many as a list service answers before the first of them gives up
 	manyPeers     = 5      // each then sees a fifth of the work at the most, about a job a worker
 	wideMost      = 8.0    // see wide: with more of them the sums of what they send vary too much
 	coldPart      = 0.5    // of the cold budget, among few: hints are rough, a txn may cost many times its own
@@ -196,7 +195,7 @@
 	if s.born < 0 {
 		s.born = now
 		// There is a list to begin with: the watch can wait for this scheduler's turn.
-		s.watchAt = now + s.watchRound()*float64(max(s.terms.Me-watchAtOnce, 0))/float64(max(s.terms.Peers, 1))
+		s.watchAt = now + s.watchRound()*float64(s.terms.Me)/float64(max(s.terms.Peers, 1))
 	}
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -464,7 +464,7 @@
 		return most
 	}
 	for _, ok := range []bool{true, false} {
-		if most, even := fails(ok), terms.Peers/8; most > watchAtOnce+2*even {
+		if most, even := fails(ok), terms.Peers/8; most > 2*even {
 			t.Errorf("answered %v: %d calls in one second, %d even ones are %d", ok, most, terms.Peers, even)
 		}
 	}
