--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,7 +60,8 @@
 	waits       []*posting // those out that have not begun, in the order in which they were made
 	oldestOut   alarms     // their txns, by when they came
 	byID        map[string]*worker
-	list        []*worker // those the list names, in its order
+	staffed     map[string]*staffed // workers that staff took out, now or before
+	list        []*worker           // those the list names, in its order
 	ranked      ranking
 	kinds       map[int]*ranking     // the same of single kinds, where a scheme is bound to one
 	touched     []*worker            // whose load may have changed since the last ranking
@@ -106,7 +107,7 @@
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{},
 		tightest: math.Inf(1), born: -1, stopAt: math.Inf(1),
-		asked: map[uint32]int{}, carried: map[size]float64{}, none: map[int]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
+		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{}, none: map[int]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
 		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
 	s.seeded = ^crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, terms.Seed))
 	s.ranked.draw, s.kinds = s.tie, map[int]*ranking{}
@@ -146,7 +147,8 @@
 		}
 		s.list = nil
 	}
-	for _, r := range rows {
+	for _, row := range rows {
+		r := s.staffing(row)
 		w := s.byID[r.ID]
 		if w == nil {
 			w = &worker{free: -1, fullAt: math.Inf(-1), limit: math.MaxInt}
@@ -161,7 +163,7 @@
 			s.sizes[r.Kind], all = r.Weight, true
 		}
 		s.touch(w)
-		w.Listed, w.hash = r, crc32.ChecksumIEEE([]byte(r.ID))
+		w.Listed, w.row, w.hash = r, row, crc32.ChecksumIEEE([]byte(r.ID))
 		if r.State != Removed && !w.here {
 			s.list = append(s.list, w)
 		}
@@ -199,6 +201,47 @@
 	}
 }
 
+// Withdrawn tells that staff took a worker out: it counts as draining, whatever the list says, until Returned.
+func (s *Scheduler) Withdrawn(now float64, id string) {
+	v := s.staffed[id]
+	if v == nil {
+		v = &staffed{}
+		s.staffed[id] = v
+	}
+	v.out, v.since = true, now
+	s.relist(now, id)
+}
+
+// Returned tells that staff put a worker back.
+func (s *Scheduler) Returned(now float64, id string) {
+	if v := s.staffed[id]; v != nil && v.out {
+		v.out, v.back = false, now
+		s.relist(now, id)
+	}
+}
+
+func (s *Scheduler) relist(now float64, id string) {
+	if w := s.byID[id]; w != nil && w.here {
+		s.ListChanged(now, false, []Listed{w.row})
+	}
+}
+
+// staffing is how a worker of the list stands after what staff did with it. One that was put back is cold from
+// then on, as the list may be late with its restart.
+func (s *Scheduler) staffing(r Listed) Listed {
+	v := s.staffed[r.ID]
+	if v == nil {
+		return r
+	}
+	if v.out && r.State == Running {
+		r.State = Draining
+	}
+	if v.back > 0 && r.Start <= v.since {
+		r.Start = v.back
+	}
+	return r
+}
+
 // Watched tells that the list request sent before was answered, or failed.
 func (s *Scheduler) Watched(now float64, ok bool) {
 	s.watching = ok
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -163,7 +163,8 @@
 }
 
 type worker struct {
-	Listed
+	Listed   // as it counts: the row, put right by what staff did
+	row      Listed
 	open     bool // see takes
 	pull     int  // the decision for which that was worked out
 	here     bool // named in the list this scheduler has
@@ -199,6 +200,12 @@
 	bears    samples // how many would have run here at the pace of their hints
 }
 
+// staffed is a worker that staff took out: whether it still is, since when, and when it was put back (0: never).
+type staffed struct {
+	out         bool
+	since, back float64
+}
+
 // size is what workers that carry the same have in common.
 type size struct {
 	kind   int
--- a/cmd/shalebeam/main.go
+++ b/cmd/shalebeam/main.go
@@ -19,10 +19,13 @@
 	Path string `name:"config" env:"BALANCER_CONFIG" placeholder:"FILE" help:"What the scheduler is told."`
 }
 
-type serve struct{ file }
+type serve struct {
+	file
+	Mgmt string `env:"BALANCER_MGMT" placeholder:"ADDR" help:"The second address, where the file names none."`
+}
 
 func (c *serve) Run(hup chan os.Signal) error {
-	n, err := scheduler.Load(c.Path)
+	n, err := scheduler.Load(c.Path, c.Mgmt)
 	if err != nil {
 		return err
 	}
@@ -32,7 +35,7 @@
 	s := scheduler.New(n, l)
 	go func() {
 		for range hup {
-			if n, err := scheduler.Load(c.Path); err != nil {
+			if n, err := scheduler.Load(c.Path, c.Mgmt); err != nil {
 				l.Printf("msg=reload state=refused err=%q", err)
 			} else {
 				s.Reload(n)
@@ -45,7 +48,7 @@
 type check struct{ file }
 
 func (c *check) Run() error {
-	n, err := scheduler.Load(c.Path)
+	n, err := scheduler.Load(c.Path, "")
 	if err == nil {
 		fmt.Printf("%s: ok, name=%s listen=%s\n", c.Path, n.Name, n.Listen)
 	}
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -372,30 +372,18 @@
 	// One that asks on and reads no answers is cut off. What a stopping scheduler turns away may go to another.
 	c.last = c.last || c.t == nil || c.conn.OutboundBuffered() > 0
 	c.last = c.last || c.s.parting(c.s.now()) || c.s.phase == draining && status != 200
-	b := make([]byte, 0, 160+len(body))
-	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(status), 10)
-	b = append(append(b, ' '), reasons[status]...)
-	b = append(b, "\r\nContent-Length: "...)
-	b = strconv.AppendInt(b, int64(len(body)), 10)
-	switch status {
-	case 200:
-	case 405:
-		b = append(b, "\r\nAllow: GET, POST\r\nContent-Type: text/plain"...)
-	default:
-		b = append(b, "\r\nContent-Type: text/plain"...)
-	}
+	more := ""
 	if stay > 0 {
-		b = append(b, "\r\nRetry-After: "...)
-		b = strconv.AppendFloat(b, stay/1000, 'f', -1, 64)
+		more = "Retry-After: " + strconv.FormatFloat(stay/1000, 'f', -1, 64) + "\r\n"
 	}
 	if c.last {
-		b = append(b, "\r\nConnection: close"...)
+		more += "Connection: close\r\n"
 	}
-	b = append(b, "\r\n\r\n"...)
-	if c.req.Method != "HEAD" {
-		b = append(b, body...)
+	text := body
+	if c.req.Method == "HEAD" {
+		text = ""
 	}
+	b := append(headOf(status, len(body), more), text...)
 	c.since, c.begun, c.used, c.ends = c.s.now(), false, c.used || c.t != nil, c.last
 	c.t = nil
 	c.hold(0)
@@ -410,6 +398,25 @@
 	}
 }
 
+// headOf makes the head of a response. more holds further lines, each with its end.
+func headOf(status, size int, more string) []byte {
+	b := make([]byte, 0, 160+len(more)+size)
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(append(b, ' '), reasons[status]...)
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(size), 10)
+	switch status {
+	case 200:
+	case 405:
+		b = append(b, "\r\nAllow: GET, POST\r\nContent-Type: text/plain"...)
+	default:
+		b = append(b, "\r\nContent-Type: text/plain"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(append(b, more...), "\r\n"...)
+}
+
 // finish ends a connection after its last answer. Closed at once with bytes unread, or on their way, it would
 // be reset and the client could lose the answer.
 func (c *client) finish() {
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -119,6 +119,7 @@
 		d.sweepAt = now + sweepEvery
 		d.s.clients.sweep(now)
 		d.s.pool.sweep(now)
+		d.s.ops.sweep(now)
 	}
 	d.s.roster.sweep(now)
 	for d.step(now) {
--- a/scheduler/node.go
+++ b/scheduler/node.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -17,6 +18,7 @@
 	Name       string   `json:"name"`
 	Listen     string   `json:"listen"`
 	Discovery  string   `json:"discovery"`
+	Mgmt       string   `json:"mgmt"` // the second address, for staff; without one there is none
 	Seed       string   `json:"seed"`
 	Limits     Limits   `json:"limits"`
 	PeerListen string   `json:"peer_listen"`
@@ -36,8 +38,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
-// Load reads and checks the file that tells a scheduler of its machine.
-func Load(path string) (*Node, error) {
+// Load reads and checks the file that tells a scheduler of its machine. mgmt is its second address where the
+// file names none.
+func Load(path, mgmt string) (*Node, error) {
 	if path == "" {
 		return nil, fmt.Errorf("no configuration file is named")
 	}
@@ -49,6 +52,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if n.Mgmt = cmp.Or(n.Mgmt, mgmt); n.Mgmt == "" {
+		return n, nil
+	}
+	if _, err := netip.ParseAddrPort(n.Mgmt); err != nil || n.Mgmt == n.Listen {
+		return nil, fmt.Errorf("%s: mgmt: %q is not an address with a port of its own", path, n.Mgmt)
+	}
 	return n, nil
 }
 
@@ -73,7 +82,7 @@
 		name string
 		same bool
 	}{{"name", n.Name == o.Name}, {"listen", n.Listen == o.Listen}, {"limits", n.Limits == o.Limits},
-		{"peer_listen", n.PeerListen == o.PeerListen}, {"peers", slices.Equal(n.Peers, o.Peers)},
+		{"mgmt", n.Mgmt == o.Mgmt}, {"peer_listen", n.PeerListen == o.PeerListen}, {"peers", slices.Equal(n.Peers, o.Peers)},
 		{"peers_all", n.PeersAll == o.PeersAll}, {"settings", reflect.DeepEqual(n.told, told)}} {
 		if !p.same {
 			names = append(names, p.name)
--- /dev/null
+++ b/scheduler/ops.go
@@ -0,0 +1,175 @@
+package scheduler
+
+import (
+	"net"
+	"strings"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"shalebeam/http1"
+)
+
+const (
+	callersMost = 8       // with their descriptors out of ownSockets
+	callerFor   = 10000.0 // for a call to come and its answer to be read: callers themselves wait far less
+)
+
+// Ids are short; one that is longer than this is none.
+var opsLimits = http1.Limits{Head: 4 << 10, Body: 256}
+
+// ops is the second address, where staff ask and tell: one call to a connection.
+type ops struct {
+	s    *Scheduler
+	addr string
+	all  []*caller       // the one that came first in front
+	out  map[string]bool // workers that staff took out
+}
+
+// caller is a connection to it.
+type caller struct {
+	s     *Scheduler
+	conn  gnet.Conn
+	req   http1.Request
+	since float64
+	ends  bool // the answer was written
+}
+
+func (o *ops) init(s *Scheduler) { *o = ops{s: s, out: map[string]bool{}} }
+
+func (o *ops) open() (err error) {
+	if o.s.node.Mgmt != "" {
+		o.addr, err = o.s.bound("tcp", o.s.node.Mgmt)
+	}
+	return err
+}
+
+// ours tells whether a connection that was accepted came to the second address.
+func (o *ops) ours(c gnet.Conn) bool {
+	if o.addr == "" {
+		return false
+	}
+	sa, err := unix.Getsockname(c.Fd())
+	return err == nil && name(sa) == o.addr
+}
+
+// name is a socket's address as text.
+func name(sa unix.Sockaddr) string {
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String()
+	case *unix.SockaddrInet6:
+		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String()
+	}
+	return ""
+}
+
+// accept takes a caller. Of more than can be held the one that has stood for longest goes: who means to call
+// does so at once.
+func (o *ops) accept(conn gnet.Conn) {
+	if len(o.all) >= callersMost {
+		o.all[0].close()
+	}
+	c := &caller{s: o.s, conn: conn, since: o.s.now()}
+	c.req.Reset(opsLimits)
+	conn.SetContext(c)
+	o.all = append(o.all, c)
+}
+
+func (o *ops) sweep(now float64) {
+	for len(o.all) > 0 && now > o.all[0].since+callerFor {
+		o.all[0].close()
+	}
+}
+
+func (c *caller) close() { _ = c.s.loop.Close(c.conn) }
+
+func (c *caller) opened(gnet.Conn) {}
+
+func (c *caller) closed(gnet.Conn, error) {
+	o := &c.s.ops
+	for i, x := range o.all {
+		if x == c {
+			o.all = append(o.all[:i], o.all[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *caller) traffic(gnet.Conn) {
+	buf, _ := c.conn.Peek(-1)
+	if c.ends {
+		_, _ = c.conn.Discard(len(buf)) // closed with bytes unread, its answer might be lost
+		return
+	}
+	n, err := c.req.Feed(buf)
+	if n > 0 {
+		_, _ = c.conn.Discard(n)
+	}
+	if e, ok := err.(*http1.Error); ok {
+		c.answer(e.Status, e.Reason+"\n")
+	} else if c.req.Done() {
+		c.answer(c.s.ops.call(&c.req))
+	}
+}
+
+// answer ends the call. The caller closes the connection, or is closed in time.
+func (c *caller) answer(status int, body string) {
+	c.ends = true
+	if c.req.Method == "HEAD" {
+		body = ""
+	}
+	b := append(headOf(status, len(body), "Connection: close\r\n"), body...)
+	if _, err := c.conn.Write(b); err == nil {
+		_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
+	}
+}
+
+// call carries out one call.
+func (o *ops) call(r *http1.Request) (status int, body string) {
+	path, _, _ := strings.Cut(r.Target, "?")
+	switch path {
+	case "/ops/readiness":
+		switch {
+		case r.Method != "GET" && r.Method != "HEAD":
+			return 405, "GET only\n"
+		case o.s.phase != serving:
+			return 503, o.s.phase.String() + "\n"
+		}
+		return 200, "serving\n"
+	case "/ops/workers/down", "/ops/workers/up":
+	default:
+		return 404, "no such call\n"
+	}
+	id := strings.TrimSpace(string(r.Body()))
+	switch {
+	case r.Method != "POST":
+		return 405, "POST only\n"
+	case id == "":
+		return 400, "the body is to be a worker's id\n"
+	case o.s.pool.target(id) == nil && !o.out[id]:
+		return 404, "no such worker\n"
+	}
+	o.staff(id, path == "/ops/workers/down")
+	if o.out[id] {
+		return 200, "out\n"
+	}
+	return 200, "in use\n"
+}
+
+// staff takes a worker out or puts it back.
+func (o *ops) staff(id string, out bool) {
+	if out == o.out[id] {
+		return
+	}
+	now := o.s.now()
+	if out {
+		o.out[id] = true
+		o.s.drive.mod.Withdrawn(now, id)
+	} else {
+		delete(o.out, id)
+		o.s.drive.mod.Returned(now, id)
+	}
+	o.s.pool.staff(id, out)
+	o.s.log.Printf("msg=worker id=%q out=%t", id, out)
+}
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -2,7 +2,7 @@
 // and answers. Every choice of where and when is balance's; this package only carries out what it decides.
 // All of it runs on one event loop, which owns the module and all state, so there are no locks. It has a file
 // a job: node (what a scheduler is told), phases (this one), clients, pool (connections to workers), roster
-// (discovery), peers (datagrams among schedulers) and drive, which pulls the module's decisions.
+// (discovery), peers (datagrams among schedulers), ops (the second address) and drive, which pulls the module's decisions.
 package scheduler
 
 import (
@@ -65,6 +65,7 @@
 	pool    pool
 	roster  roster
 	peers   peers
+	ops     ops
 	drive   drive
 }
 
@@ -77,6 +78,7 @@
 	s.pool.init(s)
 	s.roster.init(s)
 	s.peers.init(s)
+	s.ops.init(s)
 	return s
 }
 
@@ -107,6 +109,9 @@
 	if s.node.PeerListen != "" {
 		addrs = append(addrs, "udp://"+s.node.PeerListen)
 	}
+	if s.node.Mgmt != "" {
+		addrs = append(addrs, "tcp://"+s.node.Mgmt)
+	}
 	// SO_REUSEPORT makes gnet accept on the loop itself, without a second one for that. It also lets a second
 	// program share the address unnoticed, so that is tried first.
 	if l, err := net.Listen("tcp", s.node.Listen); err != nil {
@@ -158,11 +163,15 @@
 	if err == nil {
 		err = s.peers.open()
 	}
+	if err == nil {
+		err = s.ops.open()
+	}
 	if err != nil {
 		s.err = fmt.Errorf("start: %w", err)
 		return gnet.Shutdown
 	}
-	s.log.Printf("msg=listening name=%s addr=%s peer_addr=%s", s.node.Name, addr, s.peers.addr)
+	s.log.Printf("msg=listening name=%s addr=%s peer_addr=%s mgmt_addr=%s", s.node.Name, addr, s.peers.addr,
+		s.ops.addr)
 	return gnet.None
 }
 
@@ -177,11 +186,8 @@
 	if err != nil {
 		return "", fmt.Errorf("%s %s: %w", network, addr, err)
 	}
-	switch a := sa.(type) {
-	case *unix.SockaddrInet4:
-		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String(), nil
-	case *unix.SockaddrInet6:
-		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String(), nil
+	if got := name(sa); got != "" {
+		return got, nil
 	}
 	return addr, nil
 }
@@ -261,6 +267,8 @@
 	}
 	if x, ok := c.Context().(connection); ok {
 		x.opened(c)
+	} else if s.ops.ours(c) {
+		s.ops.accept(c)
 	} else {
 		s.clients.accept(c)
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -52,7 +52,8 @@
 // target is a worker as its connections know it.
 type target struct {
 	id, addr string
-	open     bool    // it may be sent something new
+	listed   bool    // the list has it in service
+	out      bool    // staff took it out
 	idle     []*lane // the one used last at the end
 }
 
@@ -109,7 +110,7 @@
 func (o *pool) target(id string) *target { return o.targets[id] }
 
 // know takes a worker from the list. Where its address changed, idle connections lead to the old one.
-func (o *pool) know(id, addr string, open bool) {
+func (o *pool) know(id, addr string, listed bool) {
 	t := o.target(id)
 	if t == nil {
 		t = &target{id: id, addr: addr}
@@ -118,7 +119,19 @@
 	if t.addr != addr {
 		t.leave()
 	}
-	t.addr, t.open = addr, open
+	t.addr, t.listed, t.out = addr, listed, o.s.ops.out[id]
+}
+
+// open tells whether it may be sent something new.
+func (t *target) open() bool { return t.listed && !t.out }
+
+// staff takes that a worker is out, or back. It restarts meanwhile, so its idle connections are of no use.
+func (o *pool) staff(id string, out bool) {
+	if t := o.target(id); t != nil {
+		if t.out = out; out {
+			t.leave()
+		}
+	}
 }
 
 // forget takes workers off the list: those named, or all that are not kept.
@@ -137,7 +150,7 @@
 
 func (o *pool) off(t *target) {
 	if t != nil {
-		t.open = false
+		t.listed = false
 		t.leave()
 		delete(o.targets, t.id)
 	}
@@ -250,7 +263,7 @@
 	l.conn = c
 	// Meanwhile the worker began to drain or left, or the window in which the txn may go again is over, or it was
 	// answered or its client left: where nothing may be called off the module does not say so.
-	if l.p != nil && (!l.to.open || l.p.t.over || l.s.now() > l.p.by) {
+	if l.p != nil && (!l.to.open() || l.p.t.over || l.s.now() > l.p.by) {
 		l.end(balance.NeverSent)
 	}
 	if l.p != nil || l.probing {
@@ -263,7 +276,7 @@
 // rest makes the connection an idle one.
 func (l *lane) rest() {
 	l.state, l.since = idle, l.s.now()
-	if !l.to.open || l.addr != l.to.addr {
+	if !l.to.open() || l.addr != l.to.addr {
 		l.close()
 		return
 	}
