--- a/balance/balance.go
+++ b/balance/balance.go
@@ -52,6 +52,8 @@
 	draws       uint32
 	born        float64 // when the first list came
 	stopAt      float64 // when this scheduler ends
+	coldAt      float64 // before this it sends nothing to cold workers
+	yields      bool    // another process of this scheduler decides for it
 	txns        map[string]*txn
 	held        queue      // open txns that want a posting: none is out, or the one that is out is in doubt
 	due         [2]alarms  // when those are given up, without and with overload
@@ -196,6 +198,8 @@
 	s.stale = true
 	if s.born < 0 {
 		s.born = now
+		// What this scheduler sent before its own restart is forgotten, and still counts.
+		s.coldAt = max(s.coldAt, now+s.terms.Fall)
 		// There is a list to begin with: the watch can wait for this scheduler's turn.
 		s.watchAt = now + s.watchRound()*float64(s.terms.Me)/float64(max(s.terms.Peers, 1))
 	}
@@ -507,6 +511,13 @@
 	}
 }
 
+// Yields tells that another process of this scheduler may send to cold workers, and speaks to peers, instead of
+// this one: both together have one scheduler's part.
+func (s *Scheduler) Yields() { s.coldAt, s.yields = math.Inf(1), true }
+
+// Leads tells that this process may from now on.
+func (s *Scheduler) Leads(now float64) { s.coldAt, s.yields = now+s.terms.Fall, false }
+
 func (s *Scheduler) end(t *txn) {
 	if t.over {
 		return
@@ -850,8 +861,8 @@
 	if !s.cold(now, w) {
 		return true
 	}
-	if now < s.born+s.terms.Fall {
-		return false // what this scheduler sent before its own restart is forgotten, and still counts
+	if now < s.coldAt {
+		return false
 	}
 	part, mine := s.turn(now, w)
 	if !mine {
@@ -1010,8 +1021,12 @@
 		}
 		f := Final{Ref: t.Ref, Declined: s.mayDecline(t)}
 		// One that can still be in time may find a slot at once on its next try; long advice made it late.
-		if f.Declined && (s.spare(now, t) <= 0 || s.stopAt < math.Inf(1)) {
-			f.Stay = min(s.terms.MaxStay, max(s.stopAt-now, 0)) // kept connections lead here again
+		stop := s.stopAt // kept connections lead here again, unless they part
+		if s.yields {
+			stop = math.Inf(1)
+		}
+		if f.Declined && (s.spare(now, t) <= 0 || stop < math.Inf(1)) {
+			f.Stay = min(s.terms.MaxStay, max(stop-now, 0))
 		}
 		s.end(t)
 		return f, true
@@ -1145,7 +1160,7 @@
 // The more peers there are the more pay for each, so the rarer it is.
 func (s *Scheduler) tellAt() float64 {
 	// Among many a job is over before the next message may go, and all would rank by the same old ones.
-	if !s.terms.Messages || s.terms.Peers <= 1 || s.thin() {
+	if !s.terms.Messages || s.terms.Peers <= 1 || s.thin() || s.yields {
 		return math.Inf(1)
 	}
 	if s.told != s.moves {
--- a/cmd/shalebeam/ops_test.go
+++ b/cmd/shalebeam/ops_test.go
@@ -118,7 +118,7 @@
 		t.Fatalf("down: got %d", got)
 	}
 	waits := s.ask("/look", "r2", "Work-Hint", "100000") // small enough for a cold worker
-	s.tell(2, members(2, true)) // the list drops it
+	s.tell(2, members(2, true))                          // the list drops it
 	s.told(2)
 	if got := opsCall(t, addr, put("/ops/workers/down", "w1")); got != 200 {
 		t.Errorf("one that is out and not listed any more is known: got %d", got)
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -73,20 +73,33 @@
 
 func (cs *clients) init(s *Scheduler) {
 	cs.s = s
-	mb := s.node.Limits.MemoryMB
+	cs.bound()
+}
+
+// bound works out how many there may be. Beyond it those go that owe and are owed nothing.
+func (cs *clients) bound() {
+	s, mb := cs.s, cs.s.node.Limits.MemoryMB
 	if mb <= 0 {
 		mb = memoryUntold
 	}
-	cs.room = mb << 20 / bodyPart
+	cs.room = s.handover.part(mb<<20) / bodyPart
 	cs.most = s.sockets() - ownSockets - s.lanesMost() - s.dialsMost() - spareClients
+	for len(cs.all) > cs.most {
+		out := cs.spare(nil)
+		if out == nil {
+			return
+		}
+		out.close()
+	}
 }
 
 // sockets is how many descriptors the process may hold.
 func (s *Scheduler) sockets() int {
-	if n := s.node.Limits.Sockets; n > 0 {
-		return n
+	n := s.node.Limits.Sockets
+	if n <= 0 {
+		n = socketsUntold
 	}
-	return socketsUntold
+	return max(s.handover.part(n), fewestSockets)
 }
 
 func (cs *clients) accept(conn gnet.Conn) {
@@ -94,17 +107,12 @@
 	c.req.Reset(requestLimits)
 	conn.SetContext(c)
 	cs.all = append(cs.all, c)
+	cs.s.handover.came()
 	if len(cs.all) <= cs.most {
 		return
 	}
 	// Out of descriptors gnet's loop would end, so one goes that owes and is owed nothing.
-	var out *client
-	for _, o := range cs.all {
-		if o != c && o.spare() > 0 && (out == nil || o.spare() > out.spare() ||
-			o.spare() == out.spare() && o.since < out.since) && !o.unread() {
-			out = o
-		}
-	}
+	out := cs.spare(c)
 	switch {
 	case out != nil:
 		out.close()
@@ -119,6 +127,17 @@
 	}
 }
 
+// spare finds the one that can best be done without, but for one.
+func (cs *clients) spare(but *client) (out *client) {
+	for _, o := range cs.all {
+		if o != but && o.spare() > 0 && (out == nil || o.spare() > out.spare() ||
+			o.spare() == out.spare() && o.since < out.since) && !o.unread() {
+			out = o
+		}
+	}
+	return out
+}
+
 // busy tells whether any answer is owed or not yet written, or a usual client may still ask for more.
 func (cs *clients) busy() bool {
 	for _, c := range cs.all {
@@ -451,7 +470,7 @@
 			if age > requestFor {
 				c.answer(408, "request too slow\n", -1)
 			}
-		case age > requestFor && !c.used, age > idleFor, cs.s.parting(now) && c.used:
+		case age > requestFor && !c.used, age > idleFor, cs.s.leaving(now) && c.used:
 			if !c.unread() {
 				c.close()
 			}
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -120,6 +120,7 @@
 		d.s.clients.sweep(now)
 		d.s.pool.sweep(now)
 		d.s.ops.sweep(now)
+		d.s.handover.sweep(now)
 	}
 	d.s.roster.sweep(now)
 	for d.step(now) {
--- a/scheduler/ops.go
+++ b/scheduler/ops.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strings"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
@@ -20,22 +21,22 @@
 
 // ops is the second address, where staff ask and tell: one call to a connection.
 type ops struct {
-	s    *Scheduler
-	addr string
-	all  []*caller       // the one that came first in front
-	out  map[string]bool // workers that staff took out
+	s       *Scheduler
+	addr    string
+	all     []*caller         // the one that came first in front
+	staffed map[string]record // workers that staff took out, now or lately
 }
 
 // caller is a connection to it.
 type caller struct {
 	s     *Scheduler
-	conn  gnet.Conn
+	conn  gnet.Conn // nil once it is closed
 	req   http1.Request
 	since float64
-	ends  bool // the answer was written
+	ends  bool // the call has come
 }
 
-func (o *ops) init(s *Scheduler) { *o = ops{s: s, out: map[string]bool{}} }
+func (o *ops) init(s *Scheduler) { *o = ops{s: s, staffed: map[string]record{}} }
 
 func (o *ops) open() (err error) {
 	if o.s.node.Mgmt != "" {
@@ -82,12 +83,17 @@
 	}
 }
 
-func (c *caller) close() { _ = c.s.loop.Close(c.conn) }
+func (c *caller) close() {
+	if c.conn != nil {
+		_ = c.s.loop.Close(c.conn)
+	}
+}
 
 func (c *caller) opened(gnet.Conn) {}
 
 func (c *caller) closed(gnet.Conn, error) {
 	o := &c.s.ops
+	c.conn = nil
 	for i, x := range o.all {
 		if x == c {
 			o.all = append(o.all[:i], o.all[i+1:]...)
@@ -109,13 +115,21 @@
 	if e, ok := err.(*http1.Error); ok {
 		c.answer(e.Status, e.Reason+"\n")
 	} else if c.req.Done() {
-		c.answer(c.s.ops.call(&c.req))
+		status, body := c.s.ops.call(&c.req)
+		wait := c.s.handover.settles()
+		if c.ends = true; wait == 0 || status != 200 {
+			c.answer(status, body)
+			return
+		}
+		time.AfterFunc(wait, func() { c.s.onLoop(func() { c.answer(status, body) }) })
 	}
 }
 
 // answer ends the call. The caller closes the connection, or is closed in time.
 func (c *caller) answer(status int, body string) {
-	c.ends = true
+	if c.ends = true; c.conn == nil {
+		return
+	}
 	if c.req.Method == "HEAD" {
 		body = ""
 	}
@@ -126,12 +140,12 @@
 }
 
 // call carries out one call.
-func (o *ops) call(r *http1.Request) (status int, body string) {
-	path, _, _ := strings.Cut(r.Target, "?")
+func (o *ops) call(q *http1.Request) (status int, body string) {
+	path, _, _ := strings.Cut(q.Target, "?")
 	switch path {
 	case "/ops/readiness":
 		switch {
-		case r.Method != "GET" && r.Method != "HEAD":
+		case q.Method != "GET" && q.Method != "HEAD":
 			return 405, "GET only\n"
 		case o.s.phase != serving:
 			return 503, o.s.phase.String() + "\n"
@@ -141,35 +155,46 @@
 	default:
 		return 404, "no such call\n"
 	}
-	id := strings.TrimSpace(string(r.Body()))
+	id := strings.TrimSpace(string(q.Body()))
 	switch {
-	case r.Method != "POST":
+	case q.Method != "POST":
 		return 405, "POST only\n"
 	case id == "":
 		return 400, "the body is to be a worker's id\n"
-	case o.s.pool.target(id) == nil && !o.out[id]:
+	case o.s.pool.target(id) == nil && !o.staffed[id].out():
 		return 404, "no such worker\n"
 	}
-	o.staff(id, path == "/ops/workers/down")
-	if o.out[id] {
-		return 200, "out\n"
+	r, now := o.staffed[id], o.s.now()
+	switch out := path == "/ops/workers/down"; {
+	case out == r.out():
+		return 200, "so already\n"
+	case out:
+		r = record{Since: now}
+	default:
+		r.Back = now
+	}
+	if err := o.s.handover.keep(id, r); err != nil {
+		// Not kept it would be forgotten over an upgrade, after a yes.
+		o.s.log.Printf("msg=worker id=%q state=refused err=%q", id, err)
+		return 503, "it could not be kept\n"
 	}
-	return 200, "in use\n"
+	o.set(id, r)
+	return 200, "done\n"
 }
 
-// staff takes a worker out or puts it back.
-func (o *ops) staff(id string, out bool) {
-	if out == o.out[id] {
+// set takes what staff did with a worker, here or at another process, where it is newer than what is known.
+func (o *ops) set(id string, r record) {
+	was := o.staffed[id]
+	if r.at() <= was.at() {
 		return
 	}
-	now := o.s.now()
-	if out {
-		o.out[id] = true
-		o.s.drive.mod.Withdrawn(now, id)
-	} else {
-		delete(o.out, id)
-		o.s.drive.mod.Returned(now, id)
+	o.staffed[id] = r
+	if was.Since < r.Since {
+		o.s.drive.mod.Withdrawn(r.Since, id)
+	}
+	if !r.out() {
+		o.s.drive.mod.Returned(r.Back, id)
 	}
-	o.s.pool.staff(id, out)
-	o.s.log.Printf("msg=worker id=%q out=%t", id, out)
+	o.s.pool.staff(id, r.out())
+	o.s.log.Printf("msg=worker id=%q out=%t", id, r.out())
 }
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -54,6 +54,7 @@
 
 func (p *peers) hear(c gnet.Conn) {
 	body, _ := c.Next(-1)
+	p.s.handover.came()
 	from, known := -1, false
 	if a, ok := c.RemoteAddr().(*net.UDPAddr); ok {
 		ap := a.AddrPort()
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -2,7 +2,8 @@
 // and answers. Every choice of where and when is balance's; this package only carries out what it decides.
 // All of it runs on one event loop, which owns the module and all state, so there are no locks. It has a file
 // a job: node (what a scheduler is told), phases (this one), clients, pool (connections to workers), roster
-// (discovery), peers (datagrams among schedulers), ops (the second address) and drive, which pulls the module's decisions.
+// (discovery), peers (datagrams among schedulers), ops (the second address), handover (two
+// processes of one scheduler) and drive, which pulls the module's decisions.
 package scheduler
 
 import (
@@ -13,7 +14,6 @@
 	"math"
 	"net"
 	"runtime"
-	"runtime/debug"
 	"strings"
 	"time"
 
@@ -67,12 +67,15 @@
 	peers   peers
 	ops     ops
 	drive   drive
+
+	handover handover
 }
 
 // New returns a scheduler for this node, which logs its phases and faults.
 func New(n *Node, l *log.Logger) *Scheduler {
 	s := &Scheduler{node: n, log: l, ready: make(chan struct{}), origin: time.Now()}
 	s.wall = float64(s.origin.UnixNano()) / 1e6
+	s.handover.init(s)
 	s.drive.init(s, balance.New(n.told.Terms))
 	s.clients.init(s)
 	s.pool.init(s)
@@ -94,10 +97,8 @@
 	if lim.Cores > 0 {
 		runtime.GOMAXPROCS(max(int(math.Ceil(lim.Cores)), 1))
 	}
-	if lim.MemoryMB > 0 {
-		// The collector works harder from here on, before the platform's limit kills the process.
-		debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 3 / 4)
-	}
+	s.handover.enter()
+	s.handover.bound()
 	defer func() {
 		if s.loop == nil {
 			close(s.ready) // nobody waits for a loop that there never was
@@ -112,9 +113,10 @@
 	if s.node.Mgmt != "" {
 		addrs = append(addrs, "tcp://"+s.node.Mgmt)
 	}
-	// SO_REUSEPORT makes gnet accept on the loop itself, without a second one for that. It also lets a second
-	// program share the address unnoticed, so that is tried first.
-	if l, err := net.Listen("tcp", s.node.Listen); err != nil {
+	// SO_REUSEPORT makes gnet accept on the loop itself, without a second one for that. It also lets another
+	// program share the address unnoticed, so that is tried first: but with a process of this scheduler it is meant.
+	if s.handover.others > 0 {
+	} else if l, err := net.Listen("tcp", s.node.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	} else if err := l.Close(); err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -158,7 +160,7 @@
 	s.eng = eng
 	addr, err := s.bound("tcp", s.node.Listen)
 	if err == nil {
-		s.first, err = net.DialTimeout("tcp", addr, time.Second)
+		s.first, err = s.handover.knock(addr)
 	}
 	if err == nil {
 		err = s.peers.open()
@@ -199,6 +201,7 @@
 	s.first.Close()
 	s.roster.begin()
 	s.enter(serving)
+	s.handover.serves()
 }
 
 // drain begins a planned stop. The module hears of the end, as each txn then has less time than its expiry.
@@ -214,6 +217,7 @@
 	s.drained = s.now()
 	s.drainBy = s.drained + max(min(most, drainMost), drainLeast)
 	s.drive.shorten(s.drainBy)
+	s.handover.drains()
 }
 
 // Reload takes a new configuration, from any goroutine. Discovery is followed to its new address at once, and
@@ -226,10 +230,16 @@
 	})
 }
 
-// parting tells whether clients' connections are closed as they fall idle: in the last third of a drain. Till
-// then those that clients have serve them as ever: the other schedulers may be down too, as in a release.
+// parting tells whether clients' connections end with their next answer: in the last third of a drain. Till
+// then those that clients have serve them as ever, since the other schedulers may be down too, as in a release.
+// Where another process has taken over they part at once.
 func (s *Scheduler) parting(now float64) bool {
-	return s.phase == draining && now > s.drainBy-(s.drainBy-s.drained)/3
+	return s.phase == draining && (s.handover.heir || now > s.drainBy-(s.drainBy-s.drained)/3)
+}
+
+// leaving tells whether idle ones are closed. A client may be about to use one, so that comes late.
+func (s *Scheduler) leaving(now float64) bool {
+	return s.parting(now) && now > s.drained+drainLeast
 }
 
 // settle ends a drain once all is answered and written and no usual client is left, or its time is over.
@@ -245,6 +255,7 @@
 // pull carries out what the module decides after an event, and ends the loop once all is done.
 func (s *Scheduler) pull() gnet.Action {
 	if s.phase != stopped {
+		s.handover.look()
 		s.drive.pull()
 	}
 	if s.phase == stopped {
@@ -262,6 +273,7 @@
 
 // OnOpen takes a connection that was accepted, or dialled by the pool or the roster.
 func (s *Scheduler) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	s.handover.look()
 	if s.phase == starting {
 		s.begin(c.EventLoop())
 	}
@@ -277,6 +289,7 @@
 
 // OnTraffic takes bytes or a datagram.
 func (s *Scheduler) OnTraffic(c gnet.Conn) gnet.Action {
+	s.handover.look()
 	if x, ok := c.Context().(connection); ok {
 		x.traffic(c)
 	} else {
@@ -287,6 +300,7 @@
 
 // OnClose takes the end of a connection, by either side.
 func (s *Scheduler) OnClose(c gnet.Conn, err error) gnet.Action {
+	s.handover.look()
 	if x, ok := c.Context().(connection); ok {
 		x.closed(c, err)
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -89,6 +89,14 @@
 	*o = pool{s: s, most: s.lanesMost(), badAt: math.Inf(-1), targets: map[string]*target{}}
 }
 
+// bound takes a new bound on connections: idle ones beyond it are closed.
+func (o *pool) bound() {
+	o.most = o.s.lanesMost()
+	for len(o.lanes) > o.most && o.resting.Len() > 0 {
+		o.resting.Front().Value.(*lane).close()
+	}
+}
+
 // keptFor is how long an idle connection is taken to be good. Workers, and what stands before them, may close
 // one sooner than the settings say, and what is written meanwhile is lost: then half of what that one had is
 // believed, and twice as much again as time passes without.
@@ -119,7 +127,7 @@
 	if t.addr != addr {
 		t.leave()
 	}
-	t.addr, t.listed, t.out = addr, listed, o.s.ops.out[id]
+	t.addr, t.listed, t.out = addr, listed, o.s.ops.staffed[id].out()
 }
 
 // open tells whether it may be sent something new.
