--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,7 +47,7 @@
 
 // Scheduler holds all that one scheduler knows.
 type Scheduler struct {
-	terms       Terms
+	terms       *Terms // as last told; a txn keeps those it came under
 	seeded      uint32 // the seed's part of each draw
 	draws       uint32
 	born        float64 // when the first list came
@@ -107,20 +107,44 @@
 
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
-	s := &Scheduler{terms: terms, txns: map[string]*txn{}, byID: map[string]*worker{},
-		tightest: math.Inf(1), born: -1, stopAt: math.Inf(1),
+	s := &Scheduler{txns: map[string]*txn{}, byID: map[string]*worker{},
+		born: -1, stopAt: math.Inf(1),
 		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{}, none: map[int]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
-		longest: make([]float64, len(terms.Schemes)), tenants: make([]tenant, len(terms.Quota))}
+	}
 	s.seeded = ^crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, terms.Seed))
 	s.ranked.draw, s.kinds = s.tie, map[int]*ranking{}
-	for _, row := range terms.Schemes {
+	s.Retune(terms)
+	return s
+}
+
+// Retune takes other terms. Open txns keep theirs, and what was learnt stays. Who this scheduler is, its peers,
+// zones and kinds, and what workers tell must be as they were.
+func (s *Scheduler) Retune(terms Terms) {
+	old, longest := s.terms, s.longest
+	s.terms, s.tightest, s.richest, s.longest = &terms, math.Inf(1), 0, make([]float64, len(terms.Schemes))
+	if len(terms.Quota) != len(s.tenants) {
+		s.tenants = make([]tenant, len(terms.Quota))
+	}
+	for i, row := range terms.Schemes {
 		s.tightest = min(s.tightest, row.SLA)
 		s.richest = max(s.richest, row.Gain, row.Gain*terms.OverGain)
+		for k := range longest {
+			if old.Schemes[k].Name == row.Name {
+				s.longest[i] = min(longest[k], row.Expiry)
+			}
+		}
 		if row.Kind >= 0 && s.kinds[row.Kind] == nil {
-			s.kinds[row.Kind] = &ranking{draw: s.tie}
+			k := &ranking{draw: s.tie}
+			s.ranked.each(func(w *worker) bool {
+				if w.rankKind == row.Kind {
+					k.put(w, 1)
+				}
+				return false
+			})
+			s.kinds[row.Kind] = k
 		}
 	}
-	return s
+	s.stale = true
 }
 
 func (s *Scheduler) chance() uint32 {
@@ -268,8 +292,7 @@
 
 // Arrived takes a new txn, which is now owed one final answer.
 func (s *Scheduler) Arrived(now float64, x Txn) {
-	row := &s.terms.Schemes[x.Scheme]
-	t := &txn{Txn: x, came: now, until: now + x.Left, hash: crc32.ChecksumIEEE([]byte(x.Key))}
+	t := &txn{Txn: x, terms: s.terms, came: now, until: now + x.Left, hash: crc32.ChecksumIEEE([]byte(x.Key))}
 	if x.Hint > 0 {
 		t.cost = x.Hint * max(x.Slots, 1)
 		s.keepCost(t.cost)
@@ -279,6 +302,7 @@
 	// A client's later try has used up part of its SLA time already: what is left of it, against the
 	// longest left that a txn of its scheme came with, tells how much.
 	s.longest[x.Scheme] = max(s.longest[x.Scheme], x.Left)
+	row := t.row()
 	t.due = now + x.Left - s.longest[x.Scheme] + row.SLA + row.Stretch*t.run()
 	t.due, t.until = min(t.due, s.stopAt), min(t.until, s.stopAt)
 	if x.Tenant < len(s.tenants) && s.terms.Quota[x.Tenant] > 0 {
@@ -421,8 +445,8 @@
 	w.fails, w.aside = w.fails+1, now+asideFirst*math.Exp2(float64(min(w.fails, 4)))
 	s.ails(w)
 	for _, p := range w.own {
-		if now-since > s.prompt(w) && s.terms.Copies && p.t.out == 1 && !p.t.over &&
-			s.terms.Schemes[p.t.Scheme].Effect != OnceOnly {
+		if now-since > s.prompt(w) && p.t.terms.Copies && p.t.out == 1 && !p.t.over &&
+			p.t.row().Effect != OnceOnly {
 			s.hold(p.t)
 		}
 	}
@@ -555,7 +579,7 @@
 
 // pick finds the worker for a txn: that of its band's rank, else the next rank with room.
 func (s *Scheduler) pick(now float64, t *txn) *worker {
-	ranks, kind := &s.ranked, s.terms.Schemes[t.Scheme].Kind
+	ranks, kind := &s.ranked, t.row().Kind
 	if kind >= 0 {
 		ranks = s.kinds[kind]
 	}
@@ -645,7 +669,7 @@
 		slices.SortFunc(order[n:], func(a, b entry) int { return cmp.Compare(a.key, b.key) })
 		return order[n:]
 	}
-	if s.listed() && s.terms.Schemes[t.Scheme].Effect == OnceOnly && !s.crowded(now) {
+	if s.listed() && t.row().Effect == OnceOnly && !s.crowded(now) {
 		// It can't leave a queue, and a fetch costs less than being called off late.
 		for _, e := range append(near, rest()...) {
 			if s.holds(e.w) < 1 && s.fits(now, t, e.w) {
@@ -702,8 +726,8 @@
 // silent: its txn may try elsewhere. One with a key may not: its copies fetched it, at the cost of others'
 // keys, and some ran though called off. A few schedulers know where there is room: a wait is mostly short.
 func (s *Scheduler) tryAt(p *posting) float64 {
-	if !s.terms.TellsStart || !s.terms.Copies || !s.terms.Cancels || p.off || p.t.Key != "" ||
-		s.terms.Schemes[p.t.Scheme].Effect == OnceOnly || len(p.t.posts) >= s.terms.MaxPosts {
+	if !s.terms.TellsStart || !p.t.terms.Copies || !s.terms.Cancels || p.off || p.t.Key != "" ||
+		p.t.row().Effect == OnceOnly || len(p.t.posts) >= p.t.terms.MaxPosts {
 		return math.Inf(1)
 	}
 	if !s.thin() {
@@ -717,11 +741,11 @@
 
 func (s *Scheduler) fits(now float64, t *txn, w *worker) bool {
 	// A queue that outlasts all that a txn can spare is of work that was called off and not dropped.
-	if s.listed() && (t.out > 0 || s.terms.Schemes[t.Scheme].Effect == OnceOnly) &&
+	if s.listed() && (t.out > 0 || t.row().Effect == OnceOnly) &&
 		s.queue(s.holds(w)) > s.spare(now, t) {
 		return false
 	}
-	if w.bad > 1 && s.terms.Schemes[t.Scheme].Effect == OnceOnly && now < w.badTill+16*asideFirst {
+	if w.bad > 1 && t.row().Effect == OnceOnly && now < w.badTill+16*asideFirst {
 		return false // no trial for one that can't go again
 	}
 	return s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
@@ -729,7 +753,7 @@
 
 // mayGo keeps rule 2.
 func (s *Scheduler) mayGo(now float64, t *txn, w *worker) bool {
-	row := &s.terms.Schemes[t.Scheme]
+	row := t.row()
 	for _, p := range t.posts {
 		if !p.done && p.w == w {
 			return false // a second copy where the first is gains nothing
@@ -747,7 +771,7 @@
 
 // windowEnd is until when a txn that may have run may go again.
 func (s *Scheduler) windowEnd(t *txn) float64 {
-	row, end := &s.terms.Schemes[t.Scheme], math.Inf(1)
+	row, end := t.row(), math.Inf(1)
 	for _, p := range t.posts {
 		if (p.ran || !p.done) && row.Effect == Referenced {
 			end = min(end, p.at+row.Window)
@@ -916,13 +940,13 @@
 // order tells which held txn goes first: the sooner due, unless it is crowded, when going by due times makes
 // every txn a late one: then the most gain that is still likely to be had.
 func (s *Scheduler) order(now float64, t *txn, crowded bool) float64 {
-	row := &s.terms.Schemes[t.Scheme]
+	row := t.row()
 	gain, spare := row.Gain, s.spare(now, t)
 	if t.surplus {
 		gain *= s.terms.OverGain
 	}
 	if spare < 0 {
-		return gain * row.LateGain / (1 + s.terms.Schemes[t.Scheme].Expiry)
+		return gain * row.LateGain / (1 + t.row().Expiry)
 	}
 	if crowded {
 		return gain * min(spare/(t.run()/2), 1)
@@ -952,7 +976,7 @@
 	most, crowded := 0.0, s.crowded(now)
 	clear(s.none)
 	for _, t := range s.held.all {
-		if t == nil || len(t.posts) >= s.terms.MaxPosts {
+		if t == nil || len(t.posts) >= t.terms.MaxPosts {
 			continue
 		}
 		if o := s.order(now, t, crowded); (best == nil || o > most) && !s.nowhere(t) {
@@ -994,7 +1018,7 @@
 // seek notes, where no worker at all takes a txn of this cost now, that none takes a costlier one of its kind
 // either: with overload each of thousands held asked each worker in vain.
 func (s *Scheduler) seek(now float64, t *txn) {
-	kind := s.terms.Schemes[t.Scheme].Kind
+	kind := t.row().Kind
 	ranks := &s.ranked
 	if kind >= 0 {
 		ranks = s.kinds[kind]
@@ -1005,7 +1029,7 @@
 }
 
 func (s *Scheduler) nowhere(t *txn) bool {
-	least, ok := s.none[s.terms.Schemes[t.Scheme].Kind]
+	least, ok := s.none[t.row().Kind]
 	return ok && t.Hint > 0 && t.cost >= least
 }
 
@@ -1036,18 +1060,18 @@
 
 // mayDecline keeps rule 2: a decline says that trying again is harmless.
 func (s *Scheduler) mayDecline(t *txn) bool {
-	row := &s.terms.Schemes[t.Scheme]
+	row := t.row()
 	return !t.ran && t.out == 0 || row.Effect == Repeatable || row.Effect == Referenced && row.Group == GroupAll
 }
 
 // decideAt is when a held txn is given up: at once where nothing more can be done for it, else when an answer
 // can no longer earn enough.
 func (s *Scheduler) decideAt(t *txn, crowded bool) float64 {
-	row := &s.terms.Schemes[t.Scheme]
+	row := t.row()
 	if t.out > 0 {
 		return math.Inf(1) // the posting that is out may still settle it, and ends by its expiry
 	}
-	if len(t.posts) >= s.terms.MaxPosts || t.ran && row.Effect == OnceOnly {
+	if len(t.posts) >= t.terms.MaxPosts || t.ran && row.Effect == OnceOnly {
 		return 0
 	}
 	last, needs := t.until-2*s.terms.Tick, t.run()
@@ -1070,7 +1094,7 @@
 func (s *Scheduler) lateAt(p *posting, crowded bool) float64 {
 	runs := func(q *posting) bool { return q.begun && !q.done }
 	if !s.terms.TellsStart || !s.terms.Cancels || p.off || slices.ContainsFunc(p.t.posts, runs) ||
-		s.terms.Schemes[p.t.Scheme].LateGain > 0 && !crowded {
+		p.t.row().LateGain > 0 && !crowded {
 		return math.Inf(1)
 	}
 	return p.t.due - p.t.run()
--- a/balance/known.go
+++ b/balance/known.go
@@ -143,7 +143,7 @@
 
 // queues tells of a txn whose end goes by the queues that the list shows.
 func (s *Scheduler) queues(t *txn) bool {
-	return s.listed() && s.terms.Schemes[t.Scheme].Effect == OnceOnly
+	return s.listed() && t.row().Effect == OnceOnly
 }
 
 // giveUpAt is when the first held txn is given up.
--- a/balance/staff_test.go
+++ b/balance/staff_test.go
@@ -55,3 +55,39 @@
 		t.Error("a worker that was never out is kept")
 	}
 }
+
+// Open txns keep the terms they came under; what was learnt of a scheme stays with its name.
+func TestRetune(t *testing.T) {
+	terms := plainTerms
+	terms.Schemes = []SchemeRow{plainTerms.Schemes[0], plainTerms.Schemes[1]}
+	terms.Schemes[0].Name, terms.Schemes[1].Name = "a", "b"
+	s := started(terms, 4)
+	arrive(s, 1, "old", 0, 100)
+	p := mustPost(t, s, 1)
+	fresh := terms
+	fresh.MaxPosts = 1
+	b, a := terms.Schemes[1], terms.Schemes[0]
+	a.Effect, a.Expiry = OnceOnly, 500
+	fresh.Schemes = []SchemeRow{b, a}
+	s.Retune(fresh)
+	if s.longest[1] != 500 || s.longest[0] != 0 {
+		t.Errorf("longest: %v", s.longest)
+	}
+	s.Ended(2, p.Ref, 0, Erred, false, NoLoad)
+	if again := mustPost(t, s, 600); again.Ref != "old" {
+		t.Error("a repeatable txn that was open does not go again")
+	}
+	s.Ended(601, "old", 1, Done, true, NoLoad)
+	s.Arrived(700, Txn{Ref: "new", Scheme: 1, Hint: 100, Slots: 1, Left: 500})
+	mustPost(t, s, 700)
+	s.Ended(701, "new", 0, Erred, false, NoLoad)
+	if f, ok := s.NextFinal(702); !ok || f.Ref != "new" || f.Declined {
+		t.Errorf("a once-only txn that may have run: %+v %v", f, ok)
+	}
+	// A scheme bound to a kind that none was bound to before finds its workers.
+	a.Kind = 0
+	fresh.Schemes = []SchemeRow{b, a}
+	s.Retune(fresh)
+	s.Arrived(800, Txn{Ref: "kind", Scheme: 1, Hint: 100, Slots: 1, Left: 500})
+	mustPost(t, s, 800)
+}
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -24,6 +24,7 @@
 
 // SchemeRow is one scheme's row of the table that the module reads.
 type SchemeRow struct {
+	Name     string // by which it is the same one in other terms
 	Effect   Effect
 	Group    Group
 	Window   float64 // how long the group remembers a mark
@@ -235,6 +236,7 @@
 
 type txn struct {
 	Txn
+	terms            *Terms // those it came under
 	cost             float64
 	came, due, until float64 // due: the SLA time; until: the expiry
 	posts            []*posting
@@ -249,4 +251,6 @@
 	dueAt            [2]float64 // when it is given up, without and with overload, as reckoned when it was held
 }
 
+func (t *txn) row() *SchemeRow { return &t.terms.Schemes[t.Scheme] }
+
 type tenant struct{ came []float64 }
--- a/cmd/shalebeam/main.go
+++ b/cmd/shalebeam/main.go
@@ -35,7 +35,7 @@
 	s := scheduler.New(n, l)
 	go func() {
 		for range hup {
-			if n, err := scheduler.Load(c.Path, c.Mgmt); err != nil {
+			if n, err := c.load(); err != nil {
 				l.Printf("msg=reload state=refused err=%q", err)
 			} else {
 				s.Reload(n)
@@ -45,6 +45,20 @@
 	return s.Run(ctx)
 }
 
+// load reads the file again, and once more if it was replaced or written to while it was read.
+func (c *serve) load() (n *scheduler.Node, err error) {
+	for range 5 {
+		before, _ := os.Stat(c.Path)
+		n, err = scheduler.Load(c.Path, c.Mgmt)
+		after, _ := os.Stat(c.Path)
+		if err == nil || before != nil && after != nil && os.SameFile(before, after) &&
+			before.Size() == after.Size() && before.ModTime().Equal(after.ModTime()) {
+			break
+		}
+	}
+	return n, err
+}
+
 type check struct{ file }
 
 func (c *check) Run() error {
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -375,7 +376,7 @@
 		s.logs("msg=reload state=refused", i+1)
 	}
 	good, err = os.ReadFile(s.config(known, map[string]any{"discovery": serveHTTP(t, other.discovery),
-		"seed": "2e", "limits": map[string]int{"sockets": 300}}))
+		"seed": "2e", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 300}}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -403,6 +404,112 @@
 	s.ended()
 }
 
+// altered is a scheduler's settings with changes in them.
+func altered(t *testing.T, change func(all map[string]any, schemes []map[string]any) []map[string]any) json.RawMessage {
+	t.Helper()
+	var all map[string]any
+	if err := json.Unmarshal([]byte(settings), &all); err != nil {
+		t.Fatal(err)
+	}
+	var schemes []map[string]any
+	for _, x := range all["schemes"].([]any) {
+		schemes = append(schemes, x.(map[string]any))
+	}
+	all["schemes"] = change(all, schemes)
+	raw, err := json.Marshal(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// Schemes come, go and change their effect, and postings get fewer; open txns keep the rules they came under.
+// Of a broken file nothing takes effect, its discovery neither, and the next good one works.
+func TestSettingsThatChange(t *testing.T) {
+	t.Parallel()
+	s, other := newStage(t), newStage(t)
+	known := members(1, true, s.worker("w1"), s.worker("w2"))
+	s.tell(1, known)
+	s.start(known, nil)
+	s.told(1)
+	elsewhere := serveHTTP(t, other.discovery)
+	config := func(more map[string]any) []byte {
+		raw, err := os.ReadFile(s.config(known, more))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return raw
+	}
+	type rows = []map[string]any
+	broken := func(change func(all map[string]any, schemes rows) rows) []byte {
+		return config(map[string]any{"discovery": elsewhere, "settings": altered(t, func(all map[string]any, schemes rows) rows {
+			return change(all, append(schemes, map[string]any{"name": "new", "effect": "retryable", "expiry": 1e7, "gain": 1,
+				"sla_time": 1e6, "tardy_gain": 0}))
+		})})
+	}
+	whole := broken(func(_ map[string]any, r rows) rows { return r })
+	for i, raw := range [][]byte{nil, {}, whole[:len(whole)-20],
+		broken(func(_ map[string]any, r rows) rows { delete(r[2], "sla_time"); return r }),
+		broken(func(all map[string]any, r rows) rows { delete(all, "guarantees"); return r }),
+		broken(func(all map[string]any, r rows) rows { delete(all["guarantees"].(map[string]any), "fall"); return r }),
+		broken(func(_ map[string]any, r rows) rows { r[2]["name"] = "look"; return r }),
+		broken(func(_ map[string]any, r rows) rows { r[1]["expiry"] = 0; return r }),
+		broken(func(_ map[string]any, r rows) rows { r[1]["expiry"] = -5; return r }),
+		broken(func(_ map[string]any, r rows) rows { r[1]["expiry"] = "soon"; return r }),
+		broken(func(all map[string]any, r rows) rows {
+			all["policy_limits"].(map[string]any)["max_postings"] = 0
+			return r
+		}),
+		broken(func(all map[string]any, r rows) rows {
+			all["policy_limits"].(map[string]any)["max_postings"] = -1
+			return r
+		}),
+		broken(func(map[string]any, rows) rows { return nil }),
+	} {
+		s.reload(raw)
+		s.logs("msg=reload state=refused", i+1)
+		s.gets(s.ask("/new", fmt.Sprint("n", i)), 404, "")
+	}
+	if len(other.asks) > 0 {
+		t.Error("the discovery of a broken file was called")
+	}
+	// look becomes once-only, buy goes, a new one comes, and a txn has one posting.
+	open, buys := s.ask("/look", "r1"), s.ask("/buy", "r2")
+	first, second := s.call(), s.call()
+	good := config(map[string]any{"settings": altered(t, func(all map[string]any, r rows) rows {
+		all["policy_limits"].(map[string]any)["max_postings"] = 1
+		r[0]["effect"], r[1] = "fragile", map[string]any{"name": "new", "effect": "retryable", "expiry": 1e7, "gain": 1,
+			"sla_time": 9e6, "tardy_gain": 0.2}
+		return r
+	})})
+	s.reload(good)
+	s.cmd.Process.Signal(syscall.SIGHUP) // two together are no harm
+	s.logs("schemes=look,new kept=none", 1)
+	s.gets(s.ask("/buy", "r3"), 404, "")
+	fresh := s.ask("/new", "r4")
+	s.call().settle("of the new")
+	s.gets(fresh, 200, "of the new")
+	if first.id() != "r1" {
+		first, second = second, first
+	}
+	first.note("started", "")
+	first.status(500, "") // it may have run: as repeatable it goes again, past what is now the last posting
+	s.call().settle("again")
+	s.gets(open, 200, "again")
+	second.settle("bought")
+	s.gets(buys, 200, "bought")
+	once := s.ask("/look", "r5")
+	p := s.call()
+	p.note("started", "")
+	p.status(500, "")
+	s.gets(once, 502, "")
+	// One during a drain is taken like any.
+	s.stop()
+	s.logs("to=draining", 1)
+	s.cmd.Process.Signal(syscall.SIGHUP)
+	s.ended()
+}
+
 // SIGHUP may come before the program has read what it is told.
 func TestReloadAtTheStart(t *testing.T) {
 	t.Parallel()
@@ -647,7 +754,11 @@
 		"sockets is 10":                     {"limits": map[string]int{"sockets": 10}},
 		"settings: schemes is missing":      {"settings": map[string]any{}},
 		"cannot unmarshal":                  {"limits": 7},
-		"schemes[0]: name is missing or re": {"settings": map[string]any{"schemes": []any{map[string]int{}}}},
+		"schemes[0]: name is missing or re": {"settings": map[string]any{"schemes": []any{map[string]int{"expiry": 1}}}},
+		"mgmt":                              {"mgmt": "here"},
+		"schemes[0].expiry: 0":              {"settings": map[string]any{"schemes": []any{map[string]string{"name": "s"}}}},
+		"policy_limits.max_postings: 0": {"settings": map[string]any{"policy_limits": map[string]int{"max_postings": 0},
+			"schemes": []any{map[string]any{"name": "s", "expiry": 1}}}},
 	} {
 		out, err := program("serve", "--config", s.config(members(1, true), more)).CombinedOutput()
 		if err == nil || !strings.Contains(string(out), want) || strings.Count(string(out), "\n") != 1 {
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -35,6 +35,7 @@
 // ask is what a request said: the module's part, and what goes on to workers unchanged.
 type ask struct {
 	txn          balance.Txn
+	row          *balance.SchemeRow // that it came under
 	method, path string
 	host, mark   string
 	kind         string // Content-Type
@@ -296,7 +297,7 @@
 		return v
 	}
 	row := &c.s.node.told.Terms.Schemes[scheme]
-	a = ask{method: c.req.Method, path: c.req.Target, host: get("host"), mark: get("idempotency-key"),
+	a = ask{row: row, method: c.req.Method, path: c.req.Target, host: get("host"), mark: get("idempotency-key"),
 		kind: get("content-type"), body: c.req.Body()}
 	a.txn = balance.Txn{Ref: get("request-id"), Scheme: scheme, Key: cookie(get("cookie"), "sid"), Hint: -1,
 		Left: row.Expiry, Repeat: get("client-retry") == "1", Tenant: place(c.s.node.told.Tenants, get("tenant"))}
--- a/scheduler/node.go
+++ b/scheduler/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"reflect"
 	"slices"
 	"strconv"
 
@@ -29,6 +28,7 @@
 	Settings json.RawMessage `json:"settings"`
 
 	told startup.Told
+	raw  []byte // all of it
 }
 
 // Limits is how much of its machine the program may use.
@@ -63,7 +63,7 @@
 
 // Parse checks what such a file holds.
 func Parse(raw []byte) (*Node, error) {
-	n := &Node{}
+	n := &Node{raw: raw}
 	if err := json.Unmarshal(raw, n); err != nil {
 		return nil, err
 	}
@@ -73,22 +73,27 @@
 	return n, nil
 }
 
-// differs names what another configuration has otherwise and only a restart changes. The seed is new with
-// each start, and the known list only begins one.
-func (n *Node) differs(o *Node) (names []string) {
-	told := o.told
-	told.Terms.Seed = n.told.Terms.Seed
+// retuned is n with all of another configuration that may change while a scheduler runs, and the keys of what
+// differs and waits for a restart. The seed is new with each start, and the known list only begins one.
+func (n *Node) retuned(o *Node) (out *Node, kept []string, err error) {
+	if key := startup.Lacks(n.raw, o.raw); key != "" {
+		return nil, nil, fmt.Errorf("%s is missing, and the settings in force have it", key)
+	}
 	for _, p := range []struct {
 		name string
 		same bool
 	}{{"name", n.Name == o.Name}, {"listen", n.Listen == o.Listen}, {"limits", n.Limits == o.Limits},
-		{"mgmt", n.Mgmt == o.Mgmt}, {"peer_listen", n.PeerListen == o.PeerListen}, {"peers", slices.Equal(n.Peers, o.Peers)},
-		{"peers_all", n.PeersAll == o.PeersAll}, {"settings", reflect.DeepEqual(n.told, told)}} {
+		{"mgmt", n.Mgmt == o.Mgmt}, {"peer_listen", n.PeerListen == o.PeerListen},
+		{"peers", slices.Equal(n.Peers, o.Peers)}, {"peers_all", n.PeersAll == o.PeersAll}} {
 		if !p.same {
-			names = append(names, p.name)
+			kept = append(kept, p.name)
 		}
 	}
-	return names
+	c := *n
+	c.Discovery, c.raw = o.Discovery, o.raw
+	told, more := n.told.Retuned(o.told)
+	c.told = told
+	return &c, append(kept, more...), nil
 }
 
 func (n *Node) check() error {
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -215,17 +215,27 @@
 		most = max(most, row.Expiry)
 	}
 	s.drained = s.now()
+	for _, t := range s.drive.txns {
+		most = max(most, t.until-s.drained) // of a scheme that is no more, or had another expiry
+	}
 	s.drainBy = s.drained + max(min(most, drainMost), drainLeast)
 	s.drive.shorten(s.drainBy)
 	s.handover.drains()
 }
 
-// Reload takes a new configuration, from any goroutine. Discovery is followed to its new address at once, and
-// nothing in flight is touched; what else differs needs a restart, is logged by name and stays as it was.
+// Reload takes a new configuration, from any goroutine: the settings and discovery's address, all or nothing of
+// it. Open txns keep the rules they came under; what waits for a restart is logged by its key and stays as it was.
 func (s *Scheduler) Reload(n *Node) {
 	s.onLoop(func() {
-		kept := cmp.Or(strings.Join(s.node.differs(n), ","), "none")
-		s.log.Printf("msg=reload state=taken discovery=%s kept=%s", n.Discovery, kept)
+		fresh, kept, err := s.node.retuned(n)
+		if err != nil {
+			s.log.Printf("msg=reload state=refused err=%q", err)
+			return
+		}
+		s.node = fresh
+		s.drive.mod.Retune(fresh.told.Terms)
+		s.log.Printf("msg=reload state=taken discovery=%s schemes=%s kept=%s", n.Discovery,
+			strings.Join(fresh.told.Schemes, ","), cmp.Or(strings.Join(kept, ","), "none"))
 		s.roster.move(n.Discovery)
 	})
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -241,7 +241,7 @@
 func (o *pool) post(p *posting, id string) {
 	// A kept connection may be closing at the other end. A reset then says nothing of whether the posting ran,
 	// and for one that must not run twice that is the end.
-	l := o.take(id, o.s.node.told.Terms.Schemes[p.t.ask.txn.Scheme].Effect == balance.OnceOnly)
+	l := o.take(id, p.t.ask.row.Effect == balance.OnceOnly)
 	if l == nil {
 		// No connection can be had, so none was made: the module takes it for a worker to leave alone for a while.
 		o.s.drive.over(p, balance.NoConnect, balance.NoLoad, "")
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -61,7 +61,7 @@
 	s.loop = fakeLoop{}
 	s.pool.know("w1", "127.0.0.1:3", true)
 	s.drive.mod.ListChanged(s.now(), true, []balance.Listed{{ID: "w1", Weight: 1}})
-	x := s.drive.arrive(nil, ask{txn: balance.Txn{Ref: "r1", Hint: 100, Left: 20000}})
+	x := s.drive.arrive(nil, ask{row: &n.told.Terms.Schemes[0], txn: balance.Txn{Ref: "r1", Hint: 100, Left: 20000}})
 	if _, ok := s.drive.mod.NextPosting(s.now()); !ok {
 		t.Fatal("no posting")
 	}
--- a/startup/startup.go
+++ b/startup/startup.go
@@ -4,7 +4,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
+	"strconv"
 
 	"shalebeam/balance"
 )
@@ -57,7 +60,7 @@
 		X0      string    `json:"report_x0"`
 	} `json:"domain"`
 	Limits struct {
-		Posts  int   `json:"max_postings"`
+		Posts  *int  `json:"max_postings"`
 		Copies bool  `json:"parallel_tries"`
 		Cancel bool  `json:"cancel"`
 		Stay   int64 `json:"max_retry_after"`
@@ -85,6 +88,14 @@
 	if len(f.Schemes) == 0 {
 		return Told{}, fmt.Errorf("settings: schemes is missing or empty")
 	}
+	for i, c := range f.Schemes {
+		if c.Expiry <= 0 {
+			return Told{}, fmt.Errorf("settings: schemes[%d].expiry: %d is not above 0", i, c.Expiry)
+		}
+	}
+	if n := f.Limits.Posts; n != nil && *n <= 0 {
+		return Told{}, fmt.Errorf("settings: policy_limits.max_postings: %d is not above 0", *n)
+	}
 	t := Told{Terms: f.terms(seed), Zones: f.Zones, Kinds: f.Kinds, Reports: len(f.Report.Fields) > 0,
 		FreeSlots: f.Domain.X0 == "free slots",
 		Idle:      ms(f.Limits.Idle), Dial: ms(f.Limits.Dial)}
@@ -97,6 +108,81 @@
 	return t, nil
 }
 
+// Retuned is t with all of o that may change while a scheduler runs, and the keys of what differs and may not.
+func (t Told) Retuned(o Told) (out Told, kept []string) {
+	a, b := &t.Terms, &o.Terms
+	for _, p := range []struct {
+		key  string
+		same bool
+	}{{"my_number", a.Me == b.Me}, {"peers_total", a.Peers == b.Peers}, {"zone", a.Zone == b.Zone},
+		{"zones", slices.Equal(t.Zones, o.Zones)}, {"kinds", slices.Equal(t.Kinds, o.Kinds)},
+		{"weights", a.LiveWeight == b.LiveWeight}, {"domain", a.TellsStart == b.TellsStart && t.FreeSlots == o.FreeSlots},
+		{"membership_mode", a.MustAsk == b.MustAsk}, {"report", t.Reports == o.Reports},
+		{"policy_limits.peers", a.Messages == b.Messages}} {
+		if !p.same {
+			kept = append(kept, p.key)
+		}
+	}
+	out = o
+	c := &out.Terms
+	c.Seed, c.Me, c.Peers, c.Zone, c.LiveWeight, c.TellsStart = a.Seed, a.Me, a.Peers, a.Zone, a.LiveWeight, a.TellsStart
+	c.MustAsk, c.Messages = a.MustAsk, a.Messages
+	out.Zones, out.Kinds, out.Reports, out.FreeSlots = t.Zones, t.Kinds, t.Reports, t.FreeSlots
+	return out, kept
+}
+
+// Lacks names a key that one object of JSON has and another lacks, "" where there is none. Of the rows of an array of
+// objects each has to have what all rows had.
+func Lacks(old, raw json.RawMessage) string {
+	var a, b any
+	if json.Unmarshal(old, &a) != nil || json.Unmarshal(raw, &b) != nil {
+		return ""
+	}
+	return lacks(a, b)
+}
+
+func lacks(a, b any) string {
+	switch a := a.(type) {
+	case map[string]any:
+		b, _ := b.(map[string]any)
+		for _, key := range slices.Sorted(maps.Keys(a)) {
+			if _, ok := b[key]; !ok {
+				return key
+			}
+			if sub := lacks(a[key], b[key]); sub != "" {
+				return key + "." + sub
+			}
+		}
+	case []any:
+		b, _ := b.([]any)
+		rows := objects(a)
+		if len(rows) == 0 {
+			return ""
+		}
+		all := maps.Clone(rows[0])
+		for _, row := range rows {
+			maps.DeleteFunc(all, func(key string, _ any) bool { _, ok := row[key]; return !ok })
+		}
+		for _, key := range slices.Sorted(maps.Keys(all)) {
+			for i, row := range objects(b) {
+				if _, ok := row[key]; !ok {
+					return strconv.Itoa(i) + "." + key
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func objects(all []any) (rows []map[string]any) {
+	for _, x := range all {
+		if row, ok := x.(map[string]any); ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // Load makes of a worker's report what the module is told.
 func (t *Told) Load(report map[string]float64) balance.Load {
 	load := balance.NoLoad
@@ -111,19 +197,19 @@
 // terms makes of it what the module is told.
 func (f *facts) terms(seed uint64) balance.Terms {
 	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Zone: f.Zone, Tick: ms(f.Tick), OverGain: f.Surplus,
-		MaxPosts: f.Limits.Posts, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
+		MaxPosts: math.MaxInt, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
 		Probes:     f.Limits.Probes,
 		LiveWeight: f.Weights == "live",
 		MustAsk:    f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
 		ColdFrom: f.Rules.ColdFrom, ColdFor: ms(f.Rules.Cold), Fall: ms(f.Rules.Fall), FallTimes: f.Rules.FallTimes}
-	if t.MaxPosts <= 0 {
-		t.MaxPosts = math.MaxInt
+	if f.Limits.Posts != nil {
+		t.MaxPosts = *f.Limits.Posts
 	}
 	if f.Limits.Advice {
 		t.MaxStay = ms(f.Limits.Stay)
 	}
 	for i, c := range f.Schemes {
-		row := balance.SchemeRow{Window: ms(c.Window), SLA: ms(c.SLA), Expiry: ms(c.Expiry), Gain: c.Gain,
+		row := balance.SchemeRow{Name: c.Name, Window: ms(c.Window), SLA: ms(c.SLA), Expiry: ms(c.Expiry), Gain: c.Gain,
 			LateGain: c.LateGain, Kind: -1}
 		// An effect that is not known is taken for the strictest.
 		row.Effect = balance.OnceOnly
--- a/startup/startup_test.go
+++ b/startup/startup_test.go
@@ -14,7 +14,7 @@
 "policy_limits":{"max_retry_after":2000000,"retry_after":true,"conn_idle":10000000,"connect_timeout":250000},
 "schemes":[
 {"name":"s","effect":"dedup","key_scope":"zone","window":40000000,"sla_time":500000,"expiry":7500000},
-{"name":"t","effect":"new","aim_stretch":1.5}]}`), 7)
+{"name":"t","effect":"new","aim_stretch":1.5,"expiry":1000}]}`), 7)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -23,10 +23,10 @@
 		w.MaxStay != 2000 || w.MaxPosts < 1000 || len(w.Quota) != 1 || w.Quota[0] != 4 {
 		t.Errorf("terms: %+v", w)
 	}
-	s := balance.SchemeRow{Effect: balance.Referenced, Group: balance.GroupZone, Window: 40000, SLA: 500,
+	s := balance.SchemeRow{Name: "s", Effect: balance.Referenced, Group: balance.GroupZone, Window: 40000, SLA: 500,
 		Stretch: 2.5, Expiry: 7500, Kind: -1}
 	// An effect that is not known is the strictest.
-	u := balance.SchemeRow{Effect: balance.OnceOnly, Group: balance.GroupCell, Stretch: 1.5, Kind: 0}
+	u := balance.SchemeRow{Name: "t", Effect: balance.OnceOnly, Group: balance.GroupCell, Expiry: 1, Stretch: 1.5, Kind: 0}
 	if w.Schemes[0] != s || w.Schemes[1] != u {
 		t.Errorf("schemes: %+v", w.Schemes)
 	}
@@ -40,9 +40,52 @@
 	if got := told.Load(nil); got != balance.NoLoad {
 		t.Errorf("no load: %v", got)
 	}
-	for _, raw := range []string{``, `7`, `{}`, `{"schemes":[]}`, `{"schemes":[{"expiry":"x"}]}`} {
+	for _, raw := range []string{``, `7`, `{}`, `{"schemes":[]}`, `{"schemes":[{"expiry":"x"}]}`,
+		`{"schemes":[{"name":"s"}]}`, `{"schemes":[{"expiry":-1}]}`,
+		`{"schemes":[{"expiry":1}],"policy_limits":{"max_postings":0}}`} {
 		if _, err := Decode([]byte(raw), 1); err == nil {
 			t.Errorf("%s was taken", raw)
 		}
 	}
 }
+
+func TestLacks(t *testing.T) {
+	const old = `{"a":1,"b":{"c":[1,2],"d":null},"rows":[{"x":1,"y":1},{"x":2}],"known":[]}`
+	for raw, want := range map[string]string{
+		old: "",
+		`{"a":7,"b":{"c":[],"d":1,"e":2},"rows":[{"x":1},{"x":2},{"x":3,"z":1}],"known":[],"more":{}}`: "",
+		`{"b":{"c":[1,2],"d":null},"rows":[],"known":[]}`:                                              "a",
+		`{"a":1,"b":{"c":[1,2]},"rows":[],"known":[]}`:                                                 "b.d",
+		`{"a":1,"b":7,"rows":[],"known":[]}`:                                                           "b.c",
+		`{"a":1,"b":{"c":[],"d":1},"rows":[{"x":1},{"y":2}],"known":[]}`:                               "rows.1.x",
+		`[]`: "a",
+	} {
+		if got := Lacks([]byte(old), []byte(raw)); got != want {
+			t.Errorf("%s lacks %q, want %q", raw, got, want)
+		}
+	}
+}
+
+func TestRetuned(t *testing.T) {
+	told := func(raw string) Told {
+		out, err := Decode([]byte(raw), 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out
+	}
+	old := told(`{"my_number":1,"peers_total":2,"zones":["a"],"schemes":[{"name":"s","expiry":1000}]}`)
+	fresh := told(`{"my_number":0,"peers_total":2,"zones":["b"],"tick":3000,"policy_limits":{"max_postings":2},
+"schemes":[{"name":"s","expiry":2000},{"name":"t","expiry":2000}]}`)
+	got, kept := old.Retuned(fresh)
+	if len(kept) != 2 || kept[0] != "my_number" || kept[1] != "zones" {
+		t.Errorf("kept: %v", kept)
+	}
+	if got.Terms.Me != 1 || got.Zones[0] != "a" || got.Terms.Tick != 3 || got.Terms.MaxPosts != 2 ||
+		len(got.Terms.Schemes) != 2 || got.Schemes[1] != "t" || got.Terms.Schemes[0].Expiry != 2 {
+		t.Errorf("got: %+v", got)
+	}
+	if _, kept := old.Retuned(old); len(kept) != 0 {
+		t.Errorf("kept of the same: %v", kept)
+	}
+}
