--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -476,6 +476,8 @@
 	// look becomes once-only, buy goes, a new one comes, and a txn has one posting.
 	open, buys := s.ask("/look", "r1"), s.ask("/buy", "r2")
 	first, second := s.call(), s.call()
+	first.note("started", "") // so that their workers take more
+	second.note("started", "")
 	good := config(map[string]any{"settings": altered(t, func(all map[string]any, r rows) rows {
 		all["policy_limits"].(map[string]any)["max_postings"] = 1
 		r[0]["effect"], r[1] = "fragile", map[string]any{"name": "new", "effect": "retryable", "expiry": 1e7, "gain": 1,
@@ -492,15 +494,15 @@
 	if first.id() != "r1" {
 		first, second = second, first
 	}
-	first.note("started", "")
-	first.status(500, "") // it may have run: as repeatable it goes again, past what is now the last posting
+	first.note("failed", "") // it may have run: as repeatable it goes again, past what is now the last posting
+	first.end()
 	s.call().settle("again")
 	s.gets(open, 200, "again")
-	second.settle("bought")
+	second.note("done", `,"result":"bought"`)
+	second.end()
 	s.gets(buys, 200, "bought")
 	once := s.ask("/look", "r5")
 	p := s.call()
-	p.note("started", "")
 	p.status(500, "")
 	s.gets(once, 502, "")
 	// One during a drain is taken like any.
--- a/cmd/shalebeam/upgrade_test.go
+++ b/cmd/shalebeam/upgrade_test.go
@@ -32,6 +32,7 @@
 	starts int
 
 	out      sync.Map // workers that were out when a yes was given: id -> time
+	runs     sync.Map // of txns that are waited for: id -> closed when it begins
 	posted   atomic.Int64
 	wrong    atomic.Int64 // postings to a worker that is out
 	answered atomic.Int64
@@ -111,6 +112,9 @@
 		return
 	}
 	h.posted.Add(1)
+	if began, ok := h.runs.LoadAndDelete(r.Header.Get("Request-Id")); ok {
+		close(began.(chan struct{}))
+	}
 	if at, ok := h.out.Load(id); ok && time.Since(at.(time.Time)) > 0 {
 		h.wrong.Add(1)
 	}
@@ -217,6 +221,38 @@
 	}
 }
 
+// once asks for a once-only txn of so many milliseconds, waits until it runs, and gives what was wrong with its answer.
+func (h *house) once(id string, ms int) chan error {
+	h.t.Helper()
+	c := make(chan error, 1)
+	began := make(chan struct{})
+	h.runs.Store(id, began)
+	go func() {
+		text := strconv.Itoa(ms)
+		r, err := http.NewRequest("POST", "http://"+h.addr+"/buy", strings.NewReader(text))
+		if err != nil {
+			c <- err
+			return
+		}
+		r.Close = true
+		r.Header.Set("Request-Id", id)
+		r.Header.Set("Work-Hint", text+"000")
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			c <- err
+			return
+		}
+		defer w.Body.Close()
+		body, err := io.ReadAll(w.Body)
+		if err != nil || w.StatusCode != 200 || string(body) != text {
+			err = fmt.Errorf("%s: got %d %q %v", id, w.StatusCode, body, err)
+		}
+		c <- err
+	}()
+	within(h.t, began, "its beginning")
+	return c
+}
+
 // descriptors is how many a process holds.
 func (p *process) descriptors() int {
 	all, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
@@ -257,6 +293,8 @@
 	most, memory := 0, 0
 	for range rounds() {
 		before := h.answered.Load()
+		// One that may not run twice, and runs for longer than the old process has.
+		long := h.once(fmt.Sprint("long", before), 4500)
 		fresh := h.start()
 		if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			t.Fatal(err)
@@ -276,6 +314,9 @@
 		if h.answered.Load() == before {
 			t.Error("nothing was answered meanwhile")
 		}
+		if err := within(t, long, "the answer of a long txn"); err != nil {
+			t.Error(err)
+		}
 	}
 	close(h.done)
 	h.busy.Wait()
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 )
 
@@ -378,6 +379,33 @@
 // Reusable tells whether another request may follow on the connection.
 func (r *Response) Reusable() bool { return r.Done() && !r.close() }
 
+// saved is what a parser has taken in, but for an unfinished line: that is still where it came from.
+type saved struct {
+	State, Lines, Left, Size, Minor, Status int
+	Fields                                  Fields
+	Body                                    []byte
+}
+
+// Save gives all that the parser has taken in, for another process to go on with.
+func (r *Response) Save() ([]byte, error) {
+	return json.Marshal(saved{int(r.state), r.lines, r.left, r.size, r.minor, r.Status, r.fields, r.body})
+}
+
+// Restore makes the parser go on from there.
+func (r *Response) Restore(raw []byte, l Limits) error {
+	var in saved
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return err
+	}
+	if in.State < int(start) || in.State > int(done) || in.Lines < 0 || in.Left < 0 || in.Size < 0 {
+		return bad("no parser was in such a state")
+	}
+	r.Reset(l)
+	r.state, r.lines, r.left, r.size, r.minor = state(in.State), in.Lines, in.Left, in.Size, in.Minor
+	r.Status, r.fields, r.body = in.Status, in.Fields, in.Body
+	return nil
+}
+
 func (r *Response) first(text string) error {
 	version, rest, _ := strings.Cut(text, " ")
 	code, _, _ := strings.Cut(rest, " ")
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -227,3 +227,33 @@
 		}
 	})
 }
+
+// However a response is cut, another process goes on with it as if it had read all.
+func TestSaveAndRestore(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n8;x=y\r\n, world!\r\n0\r\nT: u\r\n\r\n"
+	for cut := range len(text) {
+		var a, b Response
+		a.Reset(Limits{1000, 1000})
+		n, err := a.Feed([]byte(text[:cut]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := a.Save()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := b.Restore(raw, Limits{1000, 1000}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.Feed([]byte(text[n:])); err != nil || !b.Done() || string(b.Body()) != "hello, world!" ||
+			b.Status != 200 || !b.Reusable() {
+			t.Errorf("cut at %d: %v, done %t, body %q, status %d", cut, err, b.Done(), b.Body(), b.Status)
+		}
+	}
+	for _, raw := range []string{"", "7", `{"State":99}`, `{"State":3,"Left":-1}`} {
+		var r Response
+		if err := r.Restore([]byte(raw), Limits{1000, 1000}); err == nil {
+			t.Errorf("%q was taken", raw)
+		}
+	}
+}
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -68,6 +68,8 @@
 	last  bool    // the connection ends after this answer
 	ends  bool    // the last answer is being written
 	shut  bool    // the answer was written, and no more goes out
+
+	passed bool // another process of this scheduler passed it on
 }
 
 var requestLimits = http1.Limits{Head: headMost, Body: bodyMost}
@@ -104,11 +106,16 @@
 }
 
 func (cs *clients) accept(conn gnet.Conn) {
-	c := &client{s: cs.s, conn: conn, at: len(cs.all), since: cs.s.now()}
-	c.req.Reset(requestLimits)
+	c := &client{s: cs.s}
 	conn.SetContext(c)
-	cs.all = append(cs.all, c)
 	cs.s.handover.came()
+	cs.add(c, conn)
+}
+
+func (cs *clients) add(c *client, conn gnet.Conn) {
+	c.conn, c.at, c.since = conn, len(cs.all), cs.s.now()
+	c.req.Reset(requestLimits)
+	cs.all = append(cs.all, c)
 	if len(cs.all) <= cs.most {
 		return
 	}
@@ -117,6 +124,7 @@
 	switch {
 	case out != nil:
 		out.close()
+	case c.passed: // what it brought is another process's word
 	case len(cs.all) <= cs.most+spareClients:
 		c.full = true
 	default:
@@ -178,7 +186,8 @@
 	}
 }
 
-func (c *client) opened(gnet.Conn) {}
+// opened takes one that another process passed on.
+func (c *client) opened(conn gnet.Conn) { c.s.clients.add(c, conn) }
 
 func (c *client) closed(gnet.Conn, error) {
 	cs := &c.s.clients
@@ -391,7 +400,7 @@
 	}
 	// One that asks on and reads no answers is cut off. What a stopping scheduler turns away may go to another.
 	c.last = c.last || c.t == nil || c.conn.OutboundBuffered() > 0
-	c.last = c.last || c.s.parting(c.s.now()) || c.s.phase == draining && status != 200
+	c.last = c.last || c.s.parting(c.s.now()) || c.s.phase == draining && status != 200 && c.s.handover.to == 0
 	more := ""
 	if stay > 0 {
 		more = "Retry-After: " + strconv.FormatFloat(stay/1000, 'f', -1, 64) + "\r\n"
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -237,7 +237,7 @@
 
 // arm sets the one timer for the module's next wake-up, or for what has to end sooner.
 func (d *drive) arm(now float64) {
-	at := min(d.mod.Wake(now), d.sweepAt, d.s.roster.wake())
+	at := min(d.mod.Wake(now), d.sweepAt, d.s.roster.wake(), d.s.handover.wake())
 	if d.tidy(); len(d.ends) > 0 {
 		at = min(at, d.ends[0].at)
 	}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"path/filepath"
@@ -30,12 +31,13 @@
 )
 
 const (
-	lookEvery = 20.0  // in company: so old may be what a process knows of who is out, for any posting it makes
-	tellFor   = 40.0  // hence a yes waits so long
-	makeRoom  = 2000  // ms for the other to make room; it does within a sweep, and ready is due in 6 s
-	roomEvery = 10    // ms
-	passFor   = 50.0  // what waited in this one's queue before says nothing of the place
-	keptOut   = 300e3 // for so long it is kept when a worker was put back: longer than any is cold
+	lookEvery = 20.0   // in company: so old may be what a process knows of who is out, for any posting it makes
+	tellFor   = 40.0   // hence a yes waits so long
+	makeRoom  = 2000   // ms for the other to make room; it does within a sweep, and ready is due in 6 s
+	roomEvery = 10     // ms
+	giveFor   = 1000.0 // a message that is half read or written by then stays, and has two seconds more
+	passFor   = 50.0   // what waited in this one's queue before says nothing of the place
+	keptOut   = 300e3  // for so long it is kept when a worker was put back: longer than any is cold
 )
 
 // handover is what one process knows of others of its scheduler.
@@ -50,8 +52,12 @@
 	whole  bool    // and use all of the limits
 	lookAt float64 // when to look for others, or whether the file has changed
 	seen   os.FileInfo
-	place  uint32  // of the address's group, where clients are sent to
-	passed float64 // when that was last told
+	place  uint32            // of the address's group, where clients are sent to
+	passed float64           // when that was last told
+	from   *net.UnixListener // where another one passes on what it has open; nil: none can
+	to     int               // where this one does; 0: nowhere
+	gave   int               // connections of clients passed on, and txns taken
+	got    int
 }
 
 func (h *handover) init(s *Scheduler) {
@@ -93,7 +99,9 @@
 	if h.others > 0 {
 		h.s.log.Printf("msg=handover state=company others=%d room=%t", h.others, !h.taken(mayWhole))
 	}
-	h.whole = h.whole && h.others == 0
+	if h.whole = h.whole && h.others == 0; h.others > 0 {
+		h.await()
+	}
 	if !h.cold {
 		h.s.drive.mod.Yields()
 	}
@@ -156,6 +164,11 @@
 		h.s.log.Printf("msg=handover state=company others=%d", n)
 		h.others = n
 		h.bound()
+		if n == 0 && h.from != nil {
+			h.s.log.Printf("msg=handover state=alone txns_taken=%d", h.got)
+			h.from.Close()
+			h.from = nil
+		}
 	}
 	if h.others > 0 && h.whole {
 		h.whole = false
@@ -179,6 +192,13 @@
 			h.cold = false
 			h.drop(mayCold)
 			h.pass()
+			h.reach()
+		}
+		if h.give(); h.to != 0 && now > h.s.drained+giveFor {
+			h.hangUp()
+		}
+		if h.to == 0 && h.s.drive.stopAt > h.s.drainBy {
+			h.s.drive.shorten(h.s.drainBy)
 		}
 	} else if !h.cold && h.take(mayCold) {
 		h.cold = true
@@ -186,6 +206,14 @@
 	}
 }
 
+// wake is when to try again to pass on what could not be.
+func (h *handover) wake() float64 {
+	if h.to == 0 {
+		return math.Inf(1)
+	}
+	return h.lookAt
+}
+
 // bound fits all that is bounded to this process's part of the limits.
 func (h *handover) bound() {
 	s := h.s
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -219,8 +219,10 @@
 		most = max(most, t.until-s.drained) // of a scheme that is no more, or had another expiry
 	}
 	s.drainBy = s.drained + max(min(most, drainMost), drainLeast)
-	s.drive.shorten(s.drainBy)
-	s.handover.drains()
+	// What passes to another process keeps its time.
+	if s.handover.drains(); s.handover.to == 0 && s.drive.stopAt > s.drainBy {
+		s.drive.shorten(s.drainBy)
+	}
 }
 
 // Reload takes a new configuration, from any goroutine: the settings and discovery's address, all or nothing of
@@ -242,9 +244,9 @@
 
 // parting tells whether clients' connections end with their next answer: in the last third of a drain. Till
 // then those that clients have serve them as ever, since the other schedulers may be down too, as in a release.
-// Where another process has taken over they part at once.
+// Where another process has taken over they part at once, unless they pass to it.
 func (s *Scheduler) parting(now float64) bool {
-	return s.phase == draining && (s.handover.heir || now > s.drainBy-(s.drainBy-s.drained)/3)
+	return s.phase == draining && s.handover.to == 0 && (s.handover.heir || now > s.drainBy-(s.drainBy-s.drained)/3)
 }
 
 // leaving tells whether idle ones are closed. A client may be about to use one, so that comes late.
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -83,6 +83,7 @@
 	since   float64
 	writing bool
 	until   float64 // of a probe
+	passed  bool    // another process of this scheduler passed it on, in use
 }
 
 func (o *pool) init(s *Scheduler) {
@@ -267,6 +268,12 @@
 }
 
 func (l *lane) opened(c gnet.Conn) {
+	if l.passed {
+		if l.conn = c; l.p == nil {
+			l.close() // called off meanwhile
+		}
+		return
+	}
 	l.s.pool.dials--
 	l.conn = c
 	// Meanwhile the worker began to drain or left, or the window in which the txn may go again is over, or it was
@@ -339,6 +346,9 @@
 	if l.state == dialling {
 		return false // the connection is of use to another posting
 	}
+	if l.conn == nil {
+		return true // passed on, and not yet on the loop
+	}
 	whole := l.conn.OutboundBuffered() == 0
 	l.close()
 	return whole
