--- a/cmd/beamlab/commands.go
+++ b/cmd/beamlab/commands.go
@@ -497,6 +497,7 @@
 	From   uint64 `default:"1" help:"The first one's seed."`
 	Policy string `default:"adus" help:"What decides."`
 	Jobs   int    `default:"${jobs}" help:"Runs played at once."`
+	Staff  bool   `help:"On these days staff take workers out, and the settings change."`
 	output
 }
 
@@ -505,6 +506,9 @@
 	var tasks []runner.Task
 	for i := range c.Days {
 		p := plan.Rough(c.From + uint64(i))
+		if c.Staff {
+			p = plan.Operated(c.From + uint64(i))
+		}
 		tasks = append(tasks, runner.Task{Plan: p, Seed: p.Seed, Policy: c.Policy})
 	}
 	got, err := runner.All(ctx, tasks, c.Jobs, c.progress(len(tasks)))
--- a/lab/audit/audit.go
+++ b/lab/audit/audit.go
@@ -40,7 +40,7 @@
 
 // Terms are what the auditor judges by. Times are milliseconds.
 type Terms struct {
-	Schemes    []balance.SchemeRow
+	Schemes    []balance.SchemeRow // a txn is judged by the one it came under
 	Copies     bool
 	MaxPosts   int
 	AnswerIn   float64 // after its expiry a final answer may come so late
@@ -85,6 +85,19 @@
 	no   int
 }
 
+// Staffed tells that staff took a worker out at a scheduler, from the yes on, or put it back. That holds over ends
+// of its process.
+func (a *Auditor) Staffed(at float64, sched, worker string, out bool) {
+	l := a.out[sched]
+	if l == nil {
+		l = map[string]float64{}
+		a.out[sched] = l
+	}
+	if delete(l, worker); out {
+		l[worker] = at
+	}
+}
+
 // Listed is a worker's entry as a scheduler was told it.
 type listed struct {
 	state balance.State
@@ -97,8 +110,9 @@
 	terms  Terms
 	open   map[string]*story
 	kept   *story
-	lists  map[string]map[string]listed // by scheduler, by worker
-	late   []*story                     // answered, and kept under their names for a while
+	lists  map[string]map[string]listed  // by scheduler, by worker
+	out    map[string]map[string]float64 // the same: taken out by staff, since when
+	late   []*story                      // answered, and kept under their names for a while
 	breaks []Break
 	counts map[string]int
 	seen   int
@@ -109,7 +123,7 @@
 	if t.MostBreaks == 0 {
 		t.MostBreaks = 20
 	}
-	return &Auditor{terms: t, open: map[string]*story{}, lists: map[string]map[string]listed{},
+	return &Auditor{terms: t, open: map[string]*story{}, lists: map[string]map[string]listed{}, out: map[string]map[string]float64{},
 		counts: map[string]int{}}
 }
 
@@ -189,6 +203,11 @@
 }
 
 func (a *Auditor) drained(at float64, sched, ref, worker string) {
+	name, _, _ := strings.Cut(sched, ".") // of the scheduler, whose processes have numbers
+	if since, ok := a.out[name][worker]; ok && at > since+a.terms.Grace {
+		a.broken(DrainBroken, a.open[ref], at, "%s posted %s to %s, %.0f ms after staff took it out", sched, ref,
+			worker, at-since)
+	}
 	w, ok := a.lists[sched][worker]
 	if ok && w.state != balance.Running && at > w.at+a.terms.Grace {
 		a.broken(DrainBroken, a.open[ref], at, "%s posted %s to %s, %.0f ms after it was told of its drain", sched,
--- a/lab/live/clients.go
+++ b/lab/live/clients.go
@@ -76,7 +76,12 @@
 		return load.Refused, 0
 	}
 	time.Sleep(w.net.wait())
-	c := &w.p.Schemes[j.Scheme]
+	c, scheme := &w.p.Schemes[j.Scheme], j.Scheme
+	w.mu.Lock()
+	if w.twins {
+		scheme += len(w.p.Schemes)
+	}
+	w.mu.Unlock()
 	expiry := float64(c.Expiry)
 	until := w.now() + expiry
 	call, cancel := context.WithTimeout(ctx, time.Duration((expiry+1000)*float64(time.Millisecond)))
@@ -85,13 +90,13 @@
 	call = httptrace.WithClientTrace(call, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
 		wrote = i.Err == nil
 	}})
-	r, err := http.NewRequestWithContext(call, "POST", "http://"+n.addr+"/"+c.Name, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(call, "POST", "http://"+n.addr+"/"+w.rows[scheme].Name, strings.NewReader(body))
 	if err != nil {
 		return load.Refused, 0
 	}
 	w.head(r, j, ref, expiry)
 	name := n.process()
-	w.note(func(at float64) { w.audit.Took(at, name, ref, j.Scheme, until) })
+	w.note(func(at float64) { w.audit.Took(at, name, ref, scheme, until) })
 	a, err := n.client.Do(r)
 	var result []byte
 	if err == nil {
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -10,26 +10,31 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"shalebeam/balance"
 	"shalebeam/lab/load"
 	"shalebeam/lab/plan"
 )
 
 // settings is the settings object of a scheduler, times in microseconds, as README.md has it.
-func settings(p *plan.Plan, me int) map[string]any {
+func settings(p *plan.Plan, me int, phase plan.Phase) map[string]any {
 	us := func(s plan.Span) int64 { return int64(float64(s) * 1000) }
-	names := map[string]string{"repeatable": "retryable", "referenced": "dedup", "once-only": "fragile"}
 	var schemes, orgs []map[string]any
 	var kinds []int
-	for i, c := range p.Schemes {
-		schemes = append(schemes, map[string]any{"name": c.Name, "effect": names[c.Effect], "key_scope": c.Group,
+	effects := map[balance.Effect]string{balance.Repeatable: "retryable", balance.Referenced: "dedup",
+		balance.OnceOnly: "fragile"}
+	rows := p.Rows()
+	for _, i := range p.In(phase) {
+		c := p.Schemes[i%len(p.Schemes)]
+		schemes = append(schemes, map[string]any{"name": rows[i].Name, "effect": effects[rows[i].Effect], "key_scope": c.Group,
 			"window": us(c.Window), "sla_time": us(c.SLA), "aim_stretch": c.Stretch, "expiry": us(c.Expiry),
 			"gain": c.Gain, "tardy_gain": c.Late})
-		kinds = append(kinds, p.Row(i).Kind)
+		kinds = append(kinds, rows[i].Kind)
 	}
 	for _, t := range p.Clients.Tenants {
 		orgs = append(orgs, map[string]any{"name": t.Name, "quota_per_s": t.Quota})
@@ -39,7 +44,7 @@
 		"surplus_gain": s.OverShare, "weights": p.Discovery.Weights, "zones": p.Zones(), "kinds": p.Kinds(),
 		"schemes": schemes, "orgs": orgs,
 		"domain": map[string]any{"class_kind": kinds, "tells_start": true, "report_x0": "free slots"},
-		"policy_limits": map[string]any{"max_postings": s.MaxPosts, "parallel_tries": s.Copies, "cancel": s.Cancels,
+		"policy_limits": map[string]any{"max_postings": p.PostsIn(phase), "parallel_tries": s.Copies, "cancel": s.Cancels,
 			"max_retry_after": us(s.Advice), "retry_after": s.Advice > 0, "peers": s.Peers, "probes": s.Probes,
 			"conn_idle": us(s.Idle), "connect_timeout": us(s.Dial)},
 		"guarantees": map[string]any{"cold_from": c.From, "cold": us(c.For), "fall": us(c.Fall),
@@ -59,6 +64,7 @@
 	zone  int
 	addr  string
 	peer  string
+	mgmt  string
 	disc  string // its own address of discovery, by which that knows who asks
 	path  string
 	mu    sync.Mutex
@@ -97,7 +103,7 @@
 	c := map[string]any{"name": n.name(), "listen": n.addr, "discovery": n.disc,
 		"seed":   strconv.FormatUint(seed, 16),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":  json.RawMessage(n.known), "settings": settings(n.w.p, n.no)}
+		"known":  json.RawMessage(n.known), "settings": settings(n.w.p, n.no, n.w.phaseNow()), "mgmt": n.mgmt}
 	if n.w.p.Schedulers.Peers {
 		c["peer_listen"], c["peers"], c["peers_all"] = n.peer, n.w.relay.addrs, n.w.relay.all
 	}
@@ -132,6 +138,7 @@
 		return err
 	}
 	cmd.Stderr, cmd.Stdout = log, log
+	cmd.Env = append(os.Environ(), "TMPDIR="+n.w.dir)
 	if err := cmd.Start(); err != nil {
 		log.Close()
 		return fmt.Errorf("%s: %w", n.w.program, err)
@@ -167,6 +174,34 @@
 	return nil
 }
 
+// staff makes one call at the second address, again until it is heard: from the yes on a worker is out, and from
+// the call on it may be in use again.
+func (n *node) staff(worker string, out bool) {
+	call := "up"
+	if out {
+		call = "down"
+	}
+	for n.w.ctx.Err() == nil && n.w.isOut(worker) == out {
+		if !out {
+			n.w.note(func(at float64) { n.w.audit.Staffed(at, n.name(), worker, false) })
+		}
+		r, err := n.client.Post("http://"+n.mgmt+"/ops/workers/"+call, "text/plain", strings.NewReader(worker))
+		if err == nil {
+			r.Body.Close()
+			if r.StatusCode == 200 && out {
+				n.w.note(func(at float64) { n.w.audit.Staffed(at, n.name(), worker, true) })
+			}
+			if r.StatusCode == 200 {
+				return
+			}
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-n.w.ctx.Done():
+		}
+	}
+}
+
 // signal sends one to the process, if there is any.
 func (n *node) signal(s syscall.Signal) bool {
 	n.mu.Lock()
--- a/lab/live/world.go
+++ b/lab/live/world.go
@@ -79,6 +79,11 @@
 	healed  *sync.Cond
 	open    int
 	waiting sync.WaitGroup
+	rows    []balance.SchemeRow // all schemes and their twins
+	phase   plan.Phase          // of a retune
+	tuning  bool
+	twins   bool           // clients use the schemes' twins
+	out     map[string]int // workers that staff took out, how many times
 	crashed error
 }
 
@@ -136,6 +141,18 @@
 	}
 }
 
+func (w *world) phaseNow() plan.Phase {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.phase
+}
+
+func (w *world) isOut(worker string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out[worker] > 0
+}
+
 func (w *world) cutBetween(a, b script.Part) bool {
 	return slices.ContainsFunc(w.cuts, func(c *script.Cut) bool { return c.Between(a, b) })
 }
@@ -195,7 +212,7 @@
 func Play(ctx context.Context, p *plan.Plan, seed uint64, opt Options) (*tally.Result, error) {
 	w := &world{p: p, seed: seed, opt: opt, program: opt.Program, dir: opt.Dir, begun: time.Now(),
 		got: tally.New(p, "adus", "sockets", seed), jobs: map[string]*load.Job{}, counts: map[string]int{},
-		cancels: map[*load.Job]context.CancelFunc{}}
+		cancels: map[*load.Job]context.CancelFunc{}, rows: p.Rows(), out: map[string]int{}}
 	w.healed = sync.NewCond(&w.mu)
 	w.net = network{w: w, r: load.Rand(seed, "network")}
 	w.ctx, w.stop = context.WithCancel(ctx)
@@ -246,9 +263,7 @@
 	// Whether two postings are out together can't be judged here: a worker sees a connection's end too late.
 	terms := audit.Terms{Copies: true, MaxPosts: p.Schedulers.MaxPosts, AnswerIn: answerIn,
 		Grace: float64(p.Discovery.Grace) + 50, GivenUp: givenUp, SentIn: hungUp, Keep: w.opt.Keep}
-	for i := range p.Schemes {
-		terms.Schemes = append(terms.Schemes, p.Row(i))
-	}
+	terms.Schemes = w.rows
 	w.audit = audit.New(terms)
 	marks, saves := map[string]*machine.Shelf{}, map[int]*machine.Shelf{}
 	for i, b := range p.Boxes() {
@@ -284,6 +299,9 @@
 		if n.peer, err = freeAddr("udp"); err != nil {
 			return err
 		}
+		if n.mgmt, err = freeAddr("tcp"); err != nil {
+			return err
+		}
 		if n.disc, err = w.disc.open(i); err != nil {
 			return err
 		}
@@ -460,7 +478,11 @@
 	}
 	switch a.Kind {
 	case "workers":
-		w.boxes[a.Part].act(a)
+		if b := w.boxes[a.Part]; a.Do == "maintain" {
+			w.maintain(b, a.Begin)
+		} else {
+			b.act(a)
+		}
 	case "schedulers":
 		w.actOnNode(w.nodes[a.Part], a)
 	case "discovery":
@@ -486,6 +508,8 @@
 			w.net.lossy = max(0, w.net.lossy+sign*a.Factor)
 		}
 		w.net.mu.Unlock()
+	case "settings":
+		w.retune(a.Begin)
 	case "clients":
 		if a.Do == "cancel" && a.Begin {
 			w.massCancel(a)
@@ -493,6 +517,72 @@
 	}
 }
 
+// retune changes the settings of all schedulers, step by step.
+func (w *world) retune(begin bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.tuning || begin != (w.phase == plan.First) {
+		return
+	}
+	last := plan.First
+	if begin {
+		last = plan.Twins
+	}
+	w.tuning = true
+	enter := func(phase plan.Phase) {
+		w.phase = phase
+		for _, n := range w.nodes {
+			go w.reload(n)
+		}
+	}
+	enter(plan.Both)
+	w.later(plan.RetuneUse, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.twins = begin
+	})
+	w.later(plan.RetuneDrop, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.tuning = false
+		enter(last)
+	})
+}
+
+func (w *world) reload(n *node) {
+	n.mu.Lock()
+	err := n.write()
+	n.mu.Unlock()
+	if err == nil {
+		n.signal(syscall.SIGHUP)
+	}
+}
+
+// maintain has staff take a worker out at every scheduler, or put it back; it restarts meanwhile. A scheduler that
+// is down is told once it is back.
+func (w *world) maintain(b *box, begin bool) {
+	w.mu.Lock()
+	if begin {
+		w.out[b.Name]++
+	} else {
+		w.out[b.Name]--
+	}
+	turns := begin && w.out[b.Name] == 1 || !begin && w.out[b.Name] == 0
+	w.mu.Unlock()
+	if begin {
+		w.later(100, func() {
+			b.act(script.Act{Do: "kill", Begin: true})
+			b.act(script.Act{Do: "kill"})
+		})
+	}
+	if !turns {
+		return
+	}
+	for _, n := range w.nodes {
+		go n.staff(b.Name, begin)
+	}
+}
+
 func (w *world) actOnNode(n *node, a script.Act) {
 	switch {
 	case (a.Do == "kill" || a.Do == "clock") && a.Begin:
@@ -505,12 +595,7 @@
 			w.later(300, func() { w.list(n, false) })
 		}
 	case a.Do == "reload" && a.Begin:
-		n.mu.Lock()
-		err := n.write()
-		n.mu.Unlock()
-		if err == nil {
-			n.signal(syscall.SIGHUP)
-		}
+		w.reload(n)
 	case a.Do == "kill" || a.Do == "stop":
 		w.restart(n)
 	}
--- a/lab/plan/check.go
+++ b/lab/plan/check.go
@@ -25,6 +25,8 @@
 	"other":     {"workers", 1},    // part of its answers that name another's id
 	"stop":      {"schedulers", 0}, // a planned stop, and a new start after For
 	"reload":    {"schedulers", 0},
+	"maintain":  {"workers", 0},    // staff take it out, it restarts, and they put it back after For
+	"retune":    {"schedulers", 0}, // the settings change, of all of them, and back after For
 	"clock":     {"schedulers", 2}, // factor: milliseconds by which its clock jumps as it starts again
 	"down":      {"discovery", 0},
 	"lag":       {"discovery", 2}, // factor: milliseconds more until a change is told
@@ -153,6 +155,12 @@
 			return bad(key+"factor", "%v is not above 0 and up to 1", f.Factor)
 		case deed.Factor == 2 && f.Factor <= 0:
 			return bad(key+"factor", "must be above 0")
+		case f.Do == "retune" && (f.Share != 1 || f.Over != 0 || f.On != "schedulers"):
+			return bad(key+"on", "a retune is of all schedulers at once")
+		case f.Do == "retune" && f.For > 0 && f.For < RetuneFor:
+			return bad(key+"for", "a retune takes %v ms at the least", float64(RetuneFor))
+		case f.Do == "maintain" && f.For < 200:
+			return bad(key+"for", "a worker that is out restarts meanwhile, which takes 200 ms at the least")
 		case f.Do == "cut" && f.To == "":
 			return bad(key+"to", "is missing: a cut lies between two parts")
 		case f.Do != "cut" && f.To != "":
--- a/lab/plan/layout.go
+++ b/lab/plan/layout.go
@@ -54,7 +54,7 @@
 // Row is a scheme's row of the module's table.
 func (p *Plan) Row(i int) balance.SchemeRow {
 	c := p.Schemes[i]
-	row := balance.SchemeRow{Effect: effects[c.Effect], Group: groups[c.Group], Window: float64(c.Window),
+	row := balance.SchemeRow{Name: c.Name, Effect: effects[c.Effect], Group: groups[c.Group], Window: float64(c.Window),
 		SLA: float64(c.SLA), Stretch: c.Stretch, Expiry: float64(c.Expiry), Gain: c.Gain, LateGain: c.Late, Kind: -1}
 	if c.Kind != "" {
 		row.Kind = slices.Index(p.Kinds(), c.Kind)
--- a/lab/plan/rough.go
+++ b/lab/plan/rough.go
@@ -72,6 +72,22 @@
 	return p
 }
 
+// Operated is the rough day of a seed on which staff work too: workers are taken out and the settings change.
+func Operated(seed uint64) *Plan {
+	p := Rough(seed)
+	r := rand.New(rand.NewPCG(seed, 0x7374616666))
+	at := func(part float64) Span { return Span(float64(int(part * r.Float64() * float64(p.Length)))) }
+	for range 1 + r.IntN(3) {
+		p.Faults = append(p.Faults, Fault{Do: "maintain", On: "workers", At: at(0.7), For: Span(500 + r.IntN(4000)),
+			Share: 0.1 + 0.3*r.Float64(), Over: Span(r.IntN(3000))})
+	}
+	p.Faults = append(p.Faults, Fault{Do: "retune", On: "schedulers", Share: 1, At: at(0.5),
+		For: RetuneFor + Span(r.IntN(6000))})
+	p.Name = fmt.Sprint("operated-", seed)
+	p.fill()
+	return p
+}
+
 func among01(r *rand.Rand) float64 { return []float64{0, 0.5, 1, 1}[r.IntN(4)] }
 
 // rough draws one fault.
--- a/lab/policy/bugs.go
+++ b/lab/policy/bugs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -47,6 +48,8 @@
 	}},
 	{"declines-all", "declined", func(b bugged) Decider { return &declines{b} }},
 	{"holds-given-up", "held back", func(b bugged) Decider { return &holds{bugged: b} }},
+	{"ignores-staff", "drain", func(b bugged) Decider { return &deaf{b} }},
+	{"new-rules-for-open", "repeated", func(b bugged) Decider { return &rewrites{bugged: b, refs: map[string]int{}} }},
 	{"posts-after", "sent after", func(b bugged) Decider { return &after{bugged: b} }},
 }
 
@@ -193,3 +196,33 @@
 		b.last = balance.Post{Ref: ref, Worker: b.to[ref]}
 	}
 }
+
+// deaf does not hear what staff do.
+type deaf struct{ bugged }
+
+func (*deaf) Withdrawn(float64, string) {}
+
+// rewrites judges open txns by the rules that came after them: those of their scheme's twin, as places changed.
+type rewrites struct {
+	bugged
+	refs map[string]int
+}
+
+func (b *rewrites) Arrived(now float64, x balance.Txn) {
+	b.refs[x.Ref] = x.Scheme
+	b.Decider.Arrived(now, x)
+}
+
+func (b *rewrites) Retune(terms balance.Terms) {
+	b.Decider.Retune(terms)
+	m, ok := b.Decider.(*balance.Scheduler)
+	if !ok {
+		return
+	}
+	for _, ref := range slices.Sorted(maps.Keys(b.refs)) {
+		if c, ok := m.Open(ref); ok && b.refs[ref] < len(terms.Schemes) {
+			c.Row = terms.Schemes[b.refs[ref]]
+			m.Carry(c)
+		}
+	}
+}
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -24,6 +24,9 @@
 	Heard(now float64, from int, body []byte)
 	Gone(now float64, ref string)
 	Stops(by float64)
+	Withdrawn(now float64, id string)
+	Returned(now float64, id string)
+	Retune(terms balance.Terms)
 	NextFinal(now float64) (balance.Final, bool)
 	NextCancel(now float64) (balance.Cancel, bool)
 	NextPosting(now float64) (balance.Post, bool)
@@ -74,6 +77,7 @@
 	calls bool
 	askAt float64
 	stop  float64
+	out   map[string]bool // workers that staff took out
 }
 
 type box struct {
@@ -85,6 +89,8 @@
 
 type owed struct {
 	balance.Txn
+	row    balance.SchemeRow // that it came under
+	most   int
 	until  float64
 	posts  []try
 	nextAt float64
@@ -101,7 +107,7 @@
 }
 
 func newPlain(name string, terms balance.Terms, truth Truth) *plain {
-	return &plain{name: name, terms: terms, truth: truth, byID: map[string]*box{}, txns: map[string]*owed{},
+	return &plain{name: name, terms: terms, truth: truth, byID: map[string]*box{}, txns: map[string]*owed{}, out: map[string]bool{},
 		stop: math.Inf(1)}
 }
 
@@ -139,7 +145,7 @@
 }
 
 func (p *plain) Arrived(now float64, x balance.Txn) {
-	t := &owed{Txn: x, until: min(now+x.Left, p.stop)}
+	t := &owed{Txn: x, row: p.terms.Schemes[x.Scheme], most: p.terms.MaxPosts, until: min(now+x.Left, p.stop)}
 	p.txns[x.Ref] = t
 	p.wait = append(p.wait, t)
 }
@@ -192,10 +198,16 @@
 	}
 }
 
+func (p *plain) Withdrawn(_ float64, id string) { p.out[id] = true }
+func (p *plain) Returned(_ float64, id string)  { delete(p.out, id) }
+
+// Retune is taken for new txns alone, as the module does.
+func (p *plain) Retune(terms balance.Terms) { p.terms = terms }
+
 func (p *plain) NextFinal(now float64) (balance.Final, bool) {
 	for _, t := range p.wait {
-		row := &p.terms.Schemes[t.Scheme]
-		stuck := len(t.posts) >= p.terms.MaxPosts || t.ran && row.Effect == balance.OnceOnly
+		row := &t.row
+		stuck := len(t.posts) >= t.most || t.ran && row.Effect == balance.OnceOnly
 		if !stuck && now < t.until-2*p.terms.Tick {
 			continue
 		}
@@ -211,7 +223,7 @@
 
 func (p *plain) NextPosting(now float64) (balance.Post, bool) {
 	for _, t := range p.wait {
-		if now < t.nextAt || len(t.posts) >= p.terms.MaxPosts {
+		if now < t.nextAt || len(t.posts) >= t.most {
 			continue
 		}
 		b := p.pick(now, t)
@@ -230,8 +242,8 @@
 
 // may keeps the rules, and draws a cold worker only as often as it is warm.
 func (p *plain) may(now float64, t *owed, b *box) bool {
-	row := &p.terms.Schemes[t.Scheme]
-	if b.State != balance.Running || now < b.bad || row.Kind >= 0 && b.Kind != row.Kind {
+	row := &t.row
+	if b.State != balance.Running || p.out[b.ID] || now < b.bad || row.Kind >= 0 && b.Kind != row.Kind {
 		return false
 	}
 	for _, x := range t.posts {
@@ -306,7 +318,7 @@
 	}
 	for _, t := range p.wait {
 		at = min(at, t.until-2*p.terms.Tick)
-		if len(t.posts) < p.terms.MaxPosts {
+		if len(t.posts) < t.most {
 			at = min(at, t.nextAt)
 		}
 	}
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -63,6 +63,10 @@
 			acts = both(acts, Act{Do: f.Do, Kind: "network", Cut: c}, float64(f.At), float64(f.For))
 			continue
 		}
+		if f.Do == "retune" {
+			acts = both(acts, Act{Do: f.Do, Kind: "settings"}, float64(f.At), float64(f.For))
+			continue
+		}
 		for i, x := range parts {
 			at := float64(f.At)
 			if len(parts) > 1 {
--- a/lab/sim/boxes.go
+++ b/lab/sim/boxes.go
@@ -47,8 +47,8 @@
 		}
 		return
 	}
-	c := &b.w.p.Schemes[x.t.scheme]
-	row := b.w.p.Row(x.t.scheme)
+	c := &b.w.p.Schemes[x.t.call.j.Scheme]
+	row := b.w.rows[x.t.scheme]
 	j := &machine.Job{Ref: x.t.ref, Work: x.t.call.j.Work, Slots: x.t.call.j.Slots, Rank: c.Gain,
 		Window: float64(c.Window), Warned: b.w.audit.Knows(x.s.name, b.Name, b.m.Start)}
 	if row.Effect == balance.Referenced {
@@ -241,6 +241,8 @@
 			b.die(false)
 		}
 		b.restart()
+	case a.Do == "maintain":
+		b.w.maintain(b, a)
 	case a.Do == "pause":
 		b.m.Change(now, func() { b.m.Paused = a.Begin })
 	case a.Do == "slow":
--- a/lab/sim/clients.go
+++ b/lab/sim/clients.go
@@ -16,6 +16,7 @@
 	gen  int // of the scheduler's process that its connection leads to
 	over bool
 	took bool
+	twin bool // it asks for its scheme's twin
 }
 
 // nextJob takes the next job from the stream.
@@ -49,7 +50,7 @@
 	if j.Over {
 		return
 	}
-	c := &call{j: j, ref: j.Ref(), s: w.front(j)}
+	c := &call{j: j, ref: j.Ref(), s: w.front(j), twin: w.twins}
 	w.open[j.No] = c
 	until := w.now + float64(w.p.Schemes[j.Scheme].Expiry)
 	// A little beyond its time a client waits for an answer that is on its way, and no longer.
--- a/lab/sim/procs.go
+++ b/lab/sim/procs.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"slices"
 
@@ -19,7 +20,8 @@
 	name     string
 	zone     int
 	d        policy.Decider
-	gen      int // counts starts and ends; what is for a former process is lost
+	seed     uint64 // of this process
+	gen      int    // counts starts and ends; what is for a former process is lost
 	alive    bool
 	listed   bool // the front deals it clients
 	stopping bool
@@ -97,6 +99,11 @@
 		return
 	}
 	s.list(s.w.disc.as(s.known), true)
+	for _, id := range slices.Sorted(maps.Keys(s.w.out)) {
+		if s.w.out[id] > 0 {
+			s.staff(id, true) // it keeps that over its ends
+		}
+	}
 	s.pull()
 	if s.w.now == 0 {
 		s.listed = true
@@ -116,11 +123,28 @@
 	s.d.ListChanged(s.clock(), whole, rows)
 }
 
+func (s *proc) staff(id string, out bool) {
+	if out {
+		s.d.Withdrawn(s.clock(), id)
+	} else {
+		s.d.Returned(s.clock(), id)
+	}
+}
+
 func (s *proc) arrived(c *call, until float64) {
-	t := &taken{ref: c.ref, call: c, scheme: c.j.Scheme, until: min(until, s.stopBy)}
+	scheme := c.j.Scheme
+	if c.twin {
+		scheme += len(s.w.p.Schemes)
+	}
+	place := slices.Index(s.w.p.In(s.w.phase), scheme)
+	if place < 0 { // the host answers that there is no such scheme, and the module never hears of it
+		s.w.after(s.w.net.delay(), func() { s.w.answered(c, load.Reversed, 0) })
+		return
+	}
+	t := &taken{ref: c.ref, call: c, scheme: scheme, until: min(until, s.stopBy)}
 	s.txns[t.ref] = t
 	s.w.audit.Took(s.w.now, s.name, t.ref, t.scheme, t.until)
-	s.d.Arrived(s.clock(), balance.Txn{Ref: t.ref, Scheme: t.scheme, Tenant: c.j.Tenant, Key: c.j.Key,
+	s.d.Arrived(s.clock(), balance.Txn{Ref: t.ref, Scheme: place, Tenant: c.j.Tenant, Key: c.j.Key,
 		Hint: c.j.Hint, Slots: float64(c.j.Slots), Left: until - s.w.now, Repeat: c.j.Tries > 0})
 	s.expireAt(t)
 	s.pull()
@@ -353,13 +377,13 @@
 	old, kept := s.conns[b.no]
 	delete(s.conns, b.no)
 	if kept && s.w.now-old.used < float64(s.w.p.Schedulers.Idle)/2 && old.boxGen == b.gen &&
-		s.w.p.Row(t.scheme).Effect != balance.OnceOnly {
+		s.w.rows[t.scheme].Effect != balance.OnceOnly {
 		x.boxGen = old.boxGen
 		s.write(x)
 		return
 	}
 	s.dial(b, x.live, func(boxGen int) {
-		if s.state[b.no] != balance.Running || t.over || s.clock() > p.By {
+		if s.state[b.no] != balance.Running || s.w.out[b.Name] > 0 || t.over || s.clock() > p.By {
 			s.ended(x, balance.NeverSent, balance.NoLoad) // too late: see balance.Post, and the host on sockets
 			return
 		}
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -23,14 +23,14 @@
 }
 
 // days plays rough days side by side and returns their results in order.
-func days(t testing.TB, from, n int, policy string) []*tally.Result {
+func days(t testing.TB, made func(uint64) *plan.Plan, from, n int, policy string) []*tally.Result {
 	got := make([]*tally.Result, n)
 	var wg sync.WaitGroup
 	next := make(chan int)
 	for range runtime.NumCPU() {
 		wg.Go(func() {
 			for i := range next {
-				p := plan.Rough(uint64(from + i))
+				p := made(uint64(from + i))
 				if err := p.Check(); err != nil {
 					t.Errorf("day %d: %v", from+i, err)
 					continue
@@ -50,7 +50,7 @@
 // The clean module breaks no rule on rough days; beamlab soak plays more of them.
 func TestRoughDaysAreClean(t *testing.T) {
 	txns := 0
-	for _, r := range days(t, 1, 60, "adus") {
+	for _, r := range append(days(t, plan.Rough, 1, 60, "adus"), days(t, plan.Operated, 1, 30, "adus")...) {
 		for _, b := range r.Breaks {
 			t.Errorf("%s: %s", r.Plan, b)
 		}
@@ -66,7 +66,11 @@
 	for _, b := range policy.Bugs {
 		t.Run(b.Name, func(t *testing.T) {
 			found := 0
-			for _, r := range days(t, 1, 24, "adus:"+b.Name) {
+			made := plan.Rough
+			if b.Name == "ignores-staff" || b.Name == "new-rules-for-open" {
+				made = plan.Operated
+			}
+			for _, r := range days(t, made, 1, 24, "adus:"+b.Name) {
 				if found += r.Counts[b.Rule]; r.Counts[b.Rule] > 0 && b.Rule != "flooded" && b.Name != "posts-after" {
 					for _, x := range r.Breaks {
 						if x.Rule == b.Rule && len(x.History) == 0 {
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -102,7 +102,12 @@
 	audit  *audit.Auditor
 	got    *tally.Result
 	back   func(done float64)
-	digest *xxhash.Digest // of all decisions
+	digest *xxhash.Digest      // of all decisions
+	rows   []balance.SchemeRow // all schemes and their twins
+	phase  plan.Phase          // of a retune
+	tuning bool
+	twins  bool           // clients use the schemes' twins
+	out    map[string]int // workers that staff took out, how many times
 	err    error
 }
 
@@ -116,14 +121,12 @@
 // Play plays a plan with a seed and a policy. When ctx is done it stops early, and the result says so.
 func Play(ctx context.Context, p *plan.Plan, seed uint64, name string, opt Options) (*tally.Result, error) {
 	w := &world{p: p, seed: seed, policy: name, open: map[int]*call{}, whose: map[*machine.Job]*sent{}, more: true, back: opt.Progress,
-		digest: xxhash.New(),
-		got:    tally.New(p, name, "simulated", seed), stream: load.NewStream(p, seed)}
+		digest: xxhash.New(), rows: p.Rows(), out: map[string]int{},
+		got: tally.New(p, name, "simulated", seed), stream: load.NewStream(p, seed)}
 	w.got.Fleet = &tally.Fleet{}
 	terms := audit.Terms{Copies: p.Schedulers.Copies, MaxPosts: p.Schedulers.MaxPosts, AnswerIn: answerIn,
 		Grace: float64(p.Discovery.Grace), GivenUp: givenUp, Keep: opt.Keep}
-	for i := range p.Schemes {
-		terms.Schemes = append(terms.Schemes, p.Row(i))
-	}
+	terms.Schemes = w.rows
 	w.audit = audit.New(terms)
 	w.net.init(w)
 	w.build()
@@ -309,6 +312,8 @@
 		case a.Do == "lossy":
 			w.net.lossy = max(0, w.net.lossy+sign(a)*a.Factor)
 		}
+	case "settings":
+		w.retune(a.Begin)
 	case "clients":
 		if a.Do == "cancel" && a.Begin {
 			w.massCancel(a)
@@ -316,6 +321,57 @@
 	}
 }
 
+// retune changes the settings of all schedulers, step by step.
+func (w *world) retune(begin bool) {
+	if w.tuning || begin != (w.phase == plan.First) {
+		return
+	}
+	last := plan.First
+	if begin {
+		last = plan.Twins
+	}
+	w.tuning = true
+	w.enter(plan.Both)
+	w.after(plan.RetuneUse, func() { w.twins = begin })
+	w.after(plan.RetuneDrop, func() {
+		w.tuning = false
+		w.enter(last)
+	})
+}
+
+func (w *world) enter(phase plan.Phase) {
+	w.phase = phase
+	for _, s := range w.procs {
+		if s.alive {
+			s.d.Retune(w.p.TermsIn(s.no, s.seed, phase))
+			s.pull()
+		}
+	}
+}
+
+// maintain has staff take a worker out everywhere, or put it back; it restarts meanwhile.
+func (w *world) maintain(b *box, a script.Act) {
+	if a.Begin {
+		gen := b.gen
+		w.after(100, func() {
+			if b.gen == gen && b.up {
+				b.die(false)
+				b.restart()
+			}
+		})
+	}
+	w.out[b.Name] = max(w.out[b.Name]+int(sign(a)), 0)
+	if w.out[b.Name] == 1 && a.Begin || w.out[b.Name] == 0 {
+		for _, s := range w.procs {
+			w.audit.Staffed(w.now, s.name, b.Name, a.Begin)
+			if s.alive {
+				s.staff(b.Name, a.Begin)
+				s.pull()
+			}
+		}
+	}
+}
+
 func sign(a script.Act) float64 {
 	if a.Begin {
 		return 1
@@ -326,7 +382,8 @@
 // decider makes what decides for a scheduler's start.
 func (w *world) decider(me int, start int) policy.Decider {
 	seed := load.Rand(w.seed, fmt.Sprint("scheduler", me, "start", start)).Uint64()
-	d, err := policy.New(w.policy, w.p.Terms(me, seed), w.truth())
+	w.procs[me].seed = seed
+	d, err := policy.New(w.policy, w.p.TermsIn(me, seed, w.phase), w.truth())
 	if err != nil {
 		w.err = err
 	}
