--- a/cmd/beamlab/commands.go
+++ b/cmd/beamlab/commands.go
@@ -47,10 +47,16 @@
 // play is the tasks' own way to be played, nil for simulated time. On sockets runs share the cores, so one is
 // played at a time.
 func (y *way) play(c *common) (func(context.Context, runner.Task) (*tally.Result, error), error) {
+	if y.Way != "simulated" {
+		c.Jobs = 1
+	}
+	return y.player(c.Quiet)
+}
+
+func (y *way) player(quiet bool) (func(context.Context, runner.Task) (*tally.Result, error), error) {
 	if y.Way == "simulated" {
 		return nil, nil
 	}
-	c.Jobs = 1
 	program, err := y.program()
 	if err != nil {
 		return nil, err
@@ -60,7 +66,7 @@
 			return nil, fmt.Errorf("policy %q: on sockets the program decides by itself", t.Policy)
 		}
 		opt := live.Options{Program: program, Dir: y.Logs, Keep: t.Keep}
-		if !c.Quiet {
+		if !quiet {
 			opt.Progress = func(done float64) { fmt.Fprintf(os.Stderr, "\r%s, seed %d: %3.0f%%", t.Plan.Name, t.Seed, 100*done) }
 		}
 		return live.Play(ctx, t.Plan, t.Seed, opt)
@@ -498,18 +504,23 @@
 	Policy string `default:"adus" help:"What decides."`
 	Jobs   int    `default:"${jobs}" help:"Runs played at once."`
 	Staff  bool   `help:"On these days staff take workers out, and the settings change."`
+	way
 	output
 }
 
 // Run plays rough days and stops at none.
 func (c *soakCmd) Run(ctx context.Context) error {
+	play, err := c.player(true)
+	if err != nil {
+		return err
+	}
 	var tasks []runner.Task
 	for i := range c.Days {
 		p := plan.Rough(c.From + uint64(i))
 		if c.Staff {
 			p = plan.Operated(c.From + uint64(i))
 		}
-		tasks = append(tasks, runner.Task{Plan: p, Seed: p.Seed, Policy: c.Policy})
+		tasks = append(tasks, runner.Task{Plan: p, Seed: p.Seed, Policy: c.Policy, Play: play})
 	}
 	got, err := runner.All(ctx, tasks, c.Jobs, c.progress(len(tasks)))
 	if err != nil {
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -96,13 +96,14 @@
 	return l.Addr().String(), nil
 }
 
-// write writes the configuration for the next start.
+// write writes the configuration for the next start. The limits leave room for all that a small day can have open: at
+// the bound on clients what comes can only be reset, and the auditor would call it lost.
 func (n *node) write() error {
 	n.starts++
 	seed := load.Rand(n.w.seed, fmt.Sprint("scheduler", n.no, "start", n.starts)).Uint64()
 	c := map[string]any{"name": n.name(), "listen": n.addr, "discovery": n.disc,
 		"seed":   strconv.FormatUint(seed, 16),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"limits": map[string]any{"cores": 1, "memory_mb": 384, "sockets": 4096},
 		"known":  json.RawMessage(n.known), "settings": settings(n.w.p, n.no, n.w.phaseNow()), "mgmt": n.mgmt}
 	if n.w.p.Schedulers.Peers {
 		c["peer_listen"], c["peers"], c["peers_all"] = n.peer, n.w.relay.addrs, n.w.relay.all
