--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -243,6 +243,57 @@
 	s.serves()
 }
 
+// A request that comes piece by piece takes longer than silence may, and is served.
+func TestRequestInPieces(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1")), nil)
+	conn := s.dial("")
+	const text = "POST /look HTTP/1.1\r\nHost: a\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\nbody"
+	for i := 0; i < len(text); i += 20 {
+		io.WriteString(conn, text[i:min(i+20, len(text))])
+		time.Sleep(700 * time.Millisecond) // well within the 2 s of silence, and beyond them in all
+	}
+	s.call().settle("whole")
+	if w, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || w.StatusCode != 200 {
+		t.Errorf("got %v %v", w, err)
+	}
+}
+
+// Thousands of connections that say nothing or half of something hold up no job, and cost no more than the
+// limits: the descriptors, and half of the memory's.
+func TestCrowd(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.descriptors = 192
+	s.start(members(1, true, s.worker("w1"), s.worker("w2")), map[string]any{
+		"limits": map[string]any{"cores": 1, "memory_mb": 32, "sockets": 192}})
+	p := &process{cmd: s.cmd}
+	most, memory := 0, 0
+	for i := range 2500 {
+		conn, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if i%2 == 0 {
+			io.WriteString(conn, "POST /look HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("x", 2000))
+		}
+		if i%50 == 0 {
+			id := fmt.Sprint("r", i)
+			c := s.ask("/look", id, "Work-Hint", "1000")
+			s.call().settle(id)
+			s.gets(c, 200, id)
+			most, memory = max(most, p.descriptors()), max(memory, p.resident())
+		}
+	}
+	t.Logf("descriptors %d of 192, memory %d of 32 MB", most, memory)
+	if most > 192 || memory > 16 {
+		t.Errorf("descriptors %d of 192, memory %d MB, to be 16 at the most", most, memory)
+	}
+	s.healthy()
+}
+
 func TestClientThatLeavesCallsItsPostingOff(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -23,9 +23,11 @@
 	// Connections taken beyond the bound only to be told so: what they bring may have been written already.
 	spareClients = 16
 
-	// From connecting to the first request's last byte, and from a later one's first byte to its last. Usual
-	// clients send a request in one go; silence and heads without end hold what others need.
+	// How long nothing need come on a connection that has not brought a request whole, and how long that may take.
+	// Usual clients send a request in one go, yet some come over bad links; at the bound on connections those that
+	// say nothing go first in any case.
 	requestFor = 2000.0
+	piecesFor  = 10000.0
 	idleFor    = 60000.0
 	writeFor   = 10000.0 // for a client to take its answer
 	lingerFor  = 1000.0  // for a client to read an answer before the connection is gone
@@ -59,7 +61,8 @@
 	at    int       // its place in all
 	req   http1.Request
 	t     *txn    // the one that its answer is owed for
-	since float64 // when its present state began
+	since float64 // when its present state began, or when part of a request last came
+	from  float64 // when the request began to come
 	used  bool    // a txn of it was answered, so it is a usual client's and not a silent one
 	full  bool    // taken beyond the bound: its request is declined at once
 	begun bool    // part of a request has come
@@ -214,11 +217,9 @@
 		if len(buf) == 0 {
 			return
 		}
+		c.since = c.s.now()
 		if !c.begun {
-			c.begun = true
-			if c.used {
-				c.since = c.s.now() // else the first request's time runs from connecting
-			}
+			c.begun, c.from = true, c.since
 		}
 		before := c.req.HeadDone()
 		n, err := c.req.Feed(buf)
@@ -477,7 +478,7 @@
 			c.finish()
 		case c.t != nil:
 		case c.begun:
-			if age > requestFor {
+			if age > requestFor || now-c.from > piecesFor {
 				c.answer(408, "request too slow\n", -1)
 			}
 		case age > requestFor && !c.used, age > idleFor, cs.s.leaving(now) && c.used:
