Placement and a budget of postings are kept where settings state them

Cause: the module knew of neither. Change: a ranking for each set of workers that schemes are open to, found by the row, in place of one a kind; affords counts txns taken and further postings in the window, copies may use half. startup reads zones_only, kinds_open, budget_free, resend_ratio and look_back, and refuses by key what can't be meant. Why it can't come again: every pick is out of the row's ranking, every posting but a first asks affords.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,10 +50,13 @@
 	terms       *Terms // as last told; a txn keeps those it came under
 	seeded      uint32 // the seed's part of each draw
 	draws       uint32
-	born        float64 // when the first list came
-	stopAt      float64 // when this scheduler ends
-	coldAt      float64 // before this it sends nothing to cold workers
-	yields      bool    // another process of this scheduler decides for it
+	born        float64   // when the first list came
+	stopAt      float64   // when this scheduler ends
+	coldAt      float64   // before this it sends nothing to cold workers
+	yields      bool      // another process of this scheduler decides for it
+	ledAt       float64   // when it did last
+	took        []float64 // when txns came, and postings beyond their first went out, in the budget's window
+	further     []float64
 	txns        map[string]*txn
 	held        queue      // open txns that want a posting: none is out, or the one that is out is in doubt
 	due         [2]alarms  // when those are given up, without and with overload
@@ -62,10 +65,9 @@
 	waits       []*posting // those out that have not begun, in the order in which they were made
 	oldestOut   alarms     // their txns, by when they came
 	byID        map[string]*worker
-	staffed     map[string]*staffed // workers that staff took out, now or before
-	list        []*worker           // those the list names, in its order
-	ranked      ranking
-	kinds       map[int]*ranking     // the same of single kinds, where a scheme is bound to one
+	staffed     map[string]*staffed  // workers that staff took out, now or before
+	list        []*worker            // those the list names, in its order
+	ranks       []*ranking           // of all workers, then one for each set of them that a scheme is bound to
 	touched     []*worker            // whose load may have changed since the last ranking
 	young       []*worker            // those that may be cold, in the list's order
 	sick        []*worker            // those that failed lately
@@ -89,11 +91,11 @@
 	live        int       // workers that the list shows as running
 	running     int       // the same at the last ranking
 	carried     map[size]float64
-	none        map[int]float64 // by kind, the least cost that no worker takes at this decision
-	salt        uint32          // the first draw of the last ranking
-	delays      samples         // times from posting to start
-	tightest    float64         // SLA time of any scheme
-	richest     float64         // the most gain that a txn of any scheme has
+	none        map[*ranking]float64 // the least cost that no worker takes at this decision
+	salt        uint32               // the first draw of the last ranking
+	delays      samples              // times from posting to start
+	tightest    float64              // SLA time of any scheme
+	richest     float64              // the most gain that a txn of any scheme has
 	longest     []float64
 	tenants     []tenant
 	pulls       int // postings asked for so far
@@ -108,11 +110,11 @@
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{txns: map[string]*txn{}, byID: map[string]*worker{},
-		born: -1, stopAt: math.Inf(1),
-		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{}, none: map[int]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
+		born: -1, ledAt: math.Inf(-1), stopAt: math.Inf(1),
+		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{}, none: map[*ranking]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
 	}
 	s.seeded = ^crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, terms.Seed))
-	s.ranked.draw, s.kinds = s.tie, map[int]*ranking{}
+	s.rankingOf(&SchemeRow{})
 	s.Retune(terms)
 	return s
 }
@@ -133,16 +135,7 @@
 				s.longest[i] = min(longest[k], row.Expiry)
 			}
 		}
-		if row.Kind >= 0 && s.kinds[row.Kind] == nil {
-			k := &ranking{draw: s.tie}
-			s.ranked.each(func(w *worker) bool {
-				if w.rankKind == row.Kind {
-					k.put(w, 1)
-				}
-				return false
-			})
-			s.kinds[row.Kind] = k
-		}
+		s.rankingOf(&row)
 	}
 	s.stale = true
 }
@@ -312,6 +305,7 @@
 		s.keepKey(t.hash)
 	}
 	s.txns[x.Ref] = t
+	s.took = append(s.took, now)
 	s.hold(t)
 }
 
@@ -379,6 +373,9 @@
 		return
 	}
 	t, w := p.t, p.w
+	if i := slices.Index(s.further, p.at); how == NeverSent && p.no > 0 && i >= 0 {
+		s.further = slices.Delete(s.further, i, i+1) // it does not count
+	}
 	p.done = true
 	s.unwait(p)
 	s.moves++
@@ -540,7 +537,7 @@
 func (s *Scheduler) Yields() { s.coldAt, s.yields = math.Inf(1), true }
 
 // Leads tells that this process may from now on.
-func (s *Scheduler) Leads(now float64) { s.coldAt, s.yields = now+s.terms.Fall, false }
+func (s *Scheduler) Leads(now float64) { s.coldAt, s.ledAt, s.yields = now+s.terms.Fall, now, false }
 
 func (s *Scheduler) end(t *txn) {
 	if t.over {
@@ -579,11 +576,8 @@
 
 // pick finds the worker for a txn: that of its band's rank, else the next rank with room.
 func (s *Scheduler) pick(now float64, t *txn) *worker {
-	ranks, kind := &s.ranked, t.row().Kind
-	if kind >= 0 {
-		ranks = s.kinds[kind]
-	}
-	among := func(w *worker) bool { return w != nil && w.placed && (kind < 0 || w.rankKind == kind) }
+	ranks := s.rankingOf(t.row())
+	among := func(w *worker) bool { return w != nil && w.placed && w.slots[ranks.no] >= 0 }
 	// Among many a turn at a cold worker meets few txns, and left to the ranks most of it would pass unused.
 	for _, w := range s.turns {
 		inTime := t.run() < s.share(warmEarly*(now-w.Start))*(t.due-now)
@@ -637,7 +631,7 @@
 	return uint32(x >> 32)
 }
 
-// pickHome bands a txn that needs a key among its homes, as one bound to a kind is banded among that kind: a
+// pickHome bands a txn that needs a key among its homes, as a bound one is banded among those it may use: a
 // worker that lacks the key holds a slot idle while it fetches, and any that serves it drops another key. All
 // schedulers name the same homes, by hash; where none has room, the next by hash soon keeps the key too.
 func (s *Scheduler) pickHome(now float64, t *txn, ranks *ranking) *worker {
@@ -957,7 +951,7 @@
 // NextPosting decides the next posting to make.
 func (s *Scheduler) NextPosting(now float64) (Post, bool) {
 	for _, p := range s.untold() {
-		if p.t.out == 1 && !p.t.over && !p.t.held && now >= s.tryAt(p) {
+		if p.t.out == 1 && !p.t.over && !p.t.held && now >= s.tryAt(p) && s.affords(now, p.t) {
 			s.hold(p.t)
 		}
 	}
@@ -968,7 +962,7 @@
 		s.rerank(now)
 	}
 	s.pulls++
-	if !s.ranked.each(func(w *worker) bool { return s.takes(now, w) }) {
+	if !s.ranks[0].each(func(w *worker) bool { return s.takes(now, w) }) {
 		return Post{}, false
 	}
 	var best *txn
@@ -976,7 +970,7 @@
 	most, crowded := 0.0, s.crowded(now)
 	clear(s.none)
 	for _, t := range s.held.all {
-		if t == nil || len(t.posts) >= t.terms.MaxPosts {
+		if t == nil || len(t.posts) >= t.terms.MaxPosts || !s.affords(now, t) {
 			continue
 		}
 		if o := s.order(now, t, crowded); (best == nil || o > most) && !s.nowhere(t) {
@@ -1000,7 +994,9 @@
 		}
 	}
 	p := &posting{t: best, w: to, no: len(best.posts), at: now}
-	best.posts = append(best.posts, p)
+	if best.posts = append(best.posts, p); p.no > 0 {
+		s.further = append(s.further, now)
+	}
 	best.out++
 	s.moves++
 	to.own = append(to.own, p)
@@ -1015,21 +1011,42 @@
 	return Post{Ref: best.Ref, Worker: to.ID, By: s.windowEnd(best)}, true
 }
 
-// seek notes, where no worker at all takes a txn of this cost now, that none takes a costlier one of its kind
-// either: with overload each of thousands held asked each worker in vain.
-func (s *Scheduler) seek(now float64, t *txn) {
-	kind := t.row().Kind
-	ranks := &s.ranked
-	if kind >= 0 {
-		ranks = s.kinds[kind]
+// affords keeps the budget of further postings, in the window that ends now: at its edge a txn counts no more, and
+// a posting still does. A copy is only a guess, so that it may use half; what has nothing out may use all. What
+// another process of this scheduler may use beside it is left to that one.
+func (s *Scheduler) affords(now float64, t *txn) bool {
+	terms := s.terms
+	from := now - terms.BudgetFor
+	for len(s.took) > 0 && s.took[0] <= from {
+		s.took = s.took[1:]
+	}
+	for len(s.further) > 0 && s.further[0] < from {
+		s.further = s.further[1:]
+	}
+	if terms.BudgetFor <= 0 || len(t.posts) == 0 {
+		return true
+	}
+	allowed := terms.BudgetRatio * float64(len(s.took))
+	if !s.yields && now >= s.ledAt+terms.BudgetFor {
+		allowed += terms.BudgetFree
+	}
+	if t.out > 0 {
+		allowed /= 2
 	}
+	return float64(len(s.further)+1) <= allowed+1e-9
+}
+
+// seek notes, where no worker at all takes a txn of this cost now, that none takes a costlier one of those bound
+// alike either: with overload each of thousands held asked each worker in vain.
+func (s *Scheduler) seek(now float64, t *txn) {
+	ranks := s.rankingOf(t.row())
 	if t.Hint > 0 && !ranks.each(func(w *worker) bool { return s.takes(now, w) && s.warm(now, t, w) }) {
-		s.none[kind] = t.cost
+		s.none[ranks] = t.cost
 	}
 }
 
 func (s *Scheduler) nowhere(t *txn) bool {
-	least, ok := s.none[t.row().Kind]
+	least, ok := s.none[s.rankingOf(t.row())]
 	return ok && t.Hint > 0 && t.cost >= least
 }
 
@@ -1081,8 +1098,8 @@
 	last = min(last, s.stopAt-needs) // what can't be done before a stop others may do
 	last = min(last, s.windowEnd(t))
 	late := t.due - t.run()
-	if s.queues(t) && s.ranked.len() > 0 {
-		late -= s.queue(s.ranked.groups[0].load) // held for queues that all outlast its time, it is declined anyway
+	if ranks := s.rankingOf(t.row()); s.queues(t) && ranks.len() > 0 {
+		late -= s.queue(ranks.groups[0].load) // held for queues that all outlast its time, it is declined anyway
 	}
 	if row.LateGain == 0 || crowded {
 		return min(last, late)
@@ -1234,6 +1251,9 @@
 		if i += slices.IndexFunc(s.fulls[i:], sighting.last); i >= 0 && i < len(s.fulls) && s.fulls[i].last() {
 			next(s.fulls[i].at + fullFor)
 		}
+		if len(s.further) > 0 && s.terms.BudgetFor > 0 {
+			next(s.further[0] + s.terms.BudgetFor + s.terms.Tick)
+		}
 		if slices.ContainsFunc(s.young, func(w *worker) bool { return s.cold(now, w) }) {
 			next(now + s.terms.Fall/4)
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -14,10 +14,9 @@
 
 var plainTerms = Terms{Seed: 1, Peers: 1, Tick: 2, MaxPosts: 6, Copies: true, Cancels: true, TellsStart: true,
 	ColdFrom: 0.2, ColdFor: 20000, Fall: 2000, FallTimes: 3,
-	Schemes: []SchemeRow{{SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2, Kind: -1},
-		{Effect: OnceOnly, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2, Kind: -1},
-		{Effect: Referenced, Group: GroupCell, Window: 5000, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1,
-			Kind: -1}}}
+	Schemes: []SchemeRow{{SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2},
+		{Effect: OnceOnly, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2},
+		{Effect: Referenced, Group: GroupCell, Window: 5000, SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1}}}
 
 func started(terms Terms, workers int) *Scheduler {
 	s := New(terms)
@@ -89,8 +88,8 @@
 	now += 2 * rankEvery
 	s.rerank(now)
 	var ranked []*worker
-	for i := range s.ranked.len() {
-		ranked = append(ranked, s.ranked.at(i))
+	for i := range s.ranks[0].len() {
+		ranked = append(ranked, s.ranks[0].at(i))
 	}
 	for i, c := range []float64{100, 1000, 10000} {
 		arrive(s, now, fmt.Sprint("x", i), 0, c)
--- a/balance/carry_test.go
+++ b/balance/carry_test.go
@@ -16,7 +16,7 @@
 			t.Fatal("it is open")
 		}
 		terms := plainTerms // the other process is told of another effect and of fewer postings
-		terms.Schemes, terms.MaxPosts = []SchemeRow{{SLA: 1, Expiry: 1, Kind: -1}}, 1
+		terms.Schemes, terms.MaxPosts = []SchemeRow{{SLA: 1, Expiry: 1}}, 1
 		b := started(terms, 6)
 		b.Carry(c)
 		return b, c
--- a/balance/index.go
+++ b/balance/index.go
@@ -15,8 +15,10 @@
 // change rarely, so workers stand in groups of equal load; a group is put in order, by this ranking's ties,
 // only as far as it is looked at.
 type ranking struct {
-	groups []*group // by load
-	ends   []int    // of each group, the place behind its last one
+	no     int       // its place among the rankings
+	open   SchemeRow // those workers are in it that this row is open to
+	groups []*group  // by load
+	ends   []int     // of each group, the place behind its last one
 	draw   func(w *worker) uint32
 	keys   []uint64 // for deal
 }
@@ -47,27 +49,28 @@
 	return slices.BinarySearchFunc(r.groups, load, func(g *group, x float64) int { return cmp.Compare(g.load, x) })
 }
 
-// put adds a worker by its rankLoad. slot is where the worker keeps its place in the group.
-func (r *ranking) put(w *worker, slot int) {
+// put adds a worker by its rankLoad. The worker keeps its place in the group.
+func (r *ranking) put(w *worker) {
 	i, ok := r.find(w.rankLoad)
 	if !ok {
 		r.groups = slices.Insert(r.groups, i, &group{load: w.rankLoad})
 	}
 	g := r.groups[i]
-	w.slots[slot] = len(g.all)
+	w.slots[r.no] = len(g.all)
 	g.all = append(g.all, w)
 }
 
 // take removes it.
-func (r *ranking) take(w *worker, slot int) {
+func (r *ranking) take(w *worker) {
 	i, ok := r.find(w.rankLoad)
 	if !ok {
 		return
 	}
 	g := r.groups[i]
-	at, end := w.slots[slot], len(g.all)-1
+	at, end := w.slots[r.no], len(g.all)-1
 	g.all[at] = g.all[end]
-	g.all[at].slots[slot] = at
+	g.all[at].slots[r.no] = at
+	w.slots[r.no] = -1
 	g.all[end] = nil
 	g.all = g.all[:end]
 	if end == 0 {
--- a/balance/known.go
+++ b/balance/known.go
@@ -57,6 +57,35 @@
 	}
 }
 
+// rankingOf is the ranking of the workers that a row is open to. It is made once for all rows that are open alike.
+func (s *Scheduler) rankingOf(row *SchemeRow) *ranking {
+	for _, r := range s.ranks {
+		if r.open.Zones == row.Zones && r.open.Kinds == row.Kinds {
+			return r
+		}
+	}
+	r := &ranking{no: len(s.ranks), open: SchemeRow{Zones: row.Zones, Kinds: row.Kinds}, draw: s.tie}
+	s.ranks = append(s.ranks, r)
+	if r.no > 0 {
+		s.ranks[0].each(func(w *worker) bool {
+			s.place(r, w)
+			return false
+		})
+	}
+	r.begin()
+	return r
+}
+
+// place puts a worker in a ranking, where it belongs there.
+func (s *Scheduler) place(r *ranking, w *worker) {
+	for len(w.slots) < len(s.ranks) {
+		w.slots = append(w.slots, -1)
+	}
+	if r.open.Open(w.rankZone, w.rankKind) {
+		r.put(w)
+	}
+}
+
 // tie orders those of equal load: the draw that belongs to this ranking and the place in the list.
 func (s *Scheduler) tie(w *worker) uint32 { return s.draw(s.salt + w.place) }
 
@@ -80,27 +109,24 @@
 		w.touched = false
 		ready := w.here && w.State == Running && (w.mine || s.terms.Peers <= 1 || !s.cold(now, w))
 		load := s.load(w)
-		if w.placed && ready && load == w.rankLoad {
+		if w.placed && ready && load == w.rankLoad && w.rankZone == w.Zone && w.rankKind == w.Kind {
 			continue
 		}
-		if w.placed {
-			s.ranked.take(w, 0)
-			if k := s.kinds[w.rankKind]; k != nil {
-				k.take(w, 1)
+		for _, r := range s.ranks {
+			if w.placed && w.slots[r.no] >= 0 {
+				r.take(w)
 			}
 		}
 		if w.placed = ready; ready {
-			w.rankLoad, w.rankKind = load, w.Kind
-			s.ranked.put(w, 0)
-			if k := s.kinds[w.Kind]; k != nil {
-				k.put(w, 1)
+			w.rankLoad, w.rankZone, w.rankKind = load, w.Zone, w.Kind
+			for _, r := range s.ranks {
+				s.place(r, w)
 			}
 		}
 	}
 	s.touched = s.touched[:0]
-	s.ranked.begin()
-	for _, k := range s.kinds {
-		k.begin()
+	for _, r := range s.ranks {
+		r.begin()
 	}
 	s.cut()
 	clear(s.carried)
--- /dev/null
+++ b/balance/rules_test.go
@@ -0,0 +1,113 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A bound scheme goes only to the workers that it may use, at every posting, also where those are down or full; the
+// bands of its txns are cut among them.
+func TestPlacement(t *testing.T) {
+	terms := plainTerms
+	terms.Schemes = append([]SchemeRow{}, plainTerms.Schemes...)
+	terms.Schemes[0].Zones, terms.Schemes[1].Kinds = 2, 1
+	s := New(terms)
+	rows := []Listed{{ID: "a", Zone: 0, Weight: 1}, {ID: "b", Zone: 1, Kind: 1, Weight: 1}, {ID: "c", Zone: 1, Weight: 1},
+		{ID: "d", Zone: -1, Kind: -1, Weight: 1}}
+	s.ListChanged(0, true, rows)
+	met := map[string]bool{}
+	open := map[string][]string{"0": {"b", "c"}, "1": {"a", "c"}}
+	for i := range 40 {
+		now, scheme := float64(i*2000), i%2
+		ref := fmt.Sprint(i)
+		arrive(s, now, ref, scheme, 100)
+		tries := 0
+		for p, ok := s.NextPosting(now); ok; p, ok = s.NextPosting(now) {
+			if may := open[fmt.Sprint(scheme)]; p.Worker != may[0] && p.Worker != may[1] {
+				t.Fatalf("scheme %d was posted to %s", scheme, p.Worker)
+			}
+			s.Ended(now, ref, tries, Full, false, NoLoad) // and on to the next, until none is left
+			met[fmt.Sprint(scheme, p.Worker)] = true
+			tries++
+		}
+		s.Gone(now, ref)
+	}
+	if len(met) != 4 {
+		t.Errorf("met: %v", met)
+	}
+	// A worker that moves is where the list says.
+	rows[0].Zone, rows[1].Zone, rows[2].Zone = 1, 0, 0
+	s.ListChanged(90000, true, rows)
+	arrive(s, 90000, "moved", 0, 100)
+	if p := mustPost(t, s, 90000); p.Worker != "a" {
+		t.Errorf("posted to %s, and only a is in its zone now", p.Worker)
+	}
+	if n := len(s.ranks); n != 3 {
+		t.Errorf("%d rankings for all workers and two sets", n)
+	}
+}
+
+// In any window the postings beyond each txn's first stay within the budget, with
+// nothing out a txn may use all of it, a copy half.
+func TestBudget(t *testing.T) {
+	terms := plainTerms
+	terms.BudgetFor, terms.BudgetFree, terms.BudgetRatio = 2000, 1, 0.05
+	s := started(terms, 10)
+	var took, further []float64
+	for i := range 3000 {
+		now := float64(i) * 7
+		ref := fmt.Sprint(i)
+		arrive(s, now, ref, 0, 100)
+		took = append(took, now)
+		for p, ok := s.NextPosting(now); ok; p, ok = s.NextPosting(now) {
+			no := len(s.txns[p.Ref].posts) - 1
+			if no > 0 {
+				further = append(further, now)
+			}
+			n, m := 0, 0
+			for _, at := range further {
+				if at >= now-2000 {
+					n++
+				}
+			}
+			for _, at := range took {
+				if at > now-2000 {
+					m++
+				}
+			}
+			if no > 0 && float64(n) > 1+0.05*float64(m) {
+				t.Fatalf("at %g: %d further postings, with %d txns taken", now, n, m)
+			}
+			s.Ended(now, p.Ref, no, TimedOut, false, NoLoad)
+		}
+		for f, ok := s.NextFinal(now); ok; f, ok = s.NextFinal(now) {
+			_ = f
+		}
+	}
+	if n := float64(len(further)); n < 0.8*0.05*3000 {
+		t.Errorf("%g further postings, of about 150 that the budget has", n)
+	}
+	// One that was never sent does not count.
+	before := len(s.further)
+	s.further = append(s.further, 21000)
+	s.txns["x"] = &txn{Txn: Txn{Ref: "x"}, terms: s.terms, posts: []*posting{{done: true}, nil}, out: 1}
+	p := &posting{t: s.txns["x"], w: s.list[0], no: 1, at: 21000}
+	s.txns["x"].posts[1] = p
+	s.Ended(21001, "x", 1, NeverSent, false, NoLoad)
+	if len(s.further) != before {
+		t.Error("a posting that was never sent counts")
+	}
+	// While another process of this scheduler leads, what is free is that one's.
+	s.took, s.further = nil, nil
+	held := &txn{Txn: Txn{Ref: "y"}, terms: s.terms, posts: []*posting{{done: true}}}
+	if !s.affords(30000, held) {
+		t.Error("what is free can't be used")
+	}
+	s.Yields()
+	if s.affords(30000, held) {
+		t.Error("two processes of one scheduler would both use what is free")
+	}
+	if s.Leads(30000); s.affords(31000, held) || !s.affords(32001, held) {
+		t.Error("a process that leads now has to wait for the window")
+	}
+}
--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -77,7 +77,7 @@
 
 var sizeTerms = Terms{Seed: 1, Peers: 1, Tick: 2, MaxPosts: 6, Copies: true, Cancels: true, Probes: true,
 	TellsStart: true, ColdFrom: 0.2, ColdFor: 20000, Fall: 2000, FallTimes: 3,
-	Schemes: []SchemeRow{{SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2, Kind: -1}}}
+	Schemes: []SchemeRow{{SLA: 1000, Stretch: 2, Expiry: 20000, Gain: 1, LateGain: 0.2}}}
 
 // Txns that run, on 7,000 workers with 4 slots.
 func BenchmarkOpen(b *testing.B) {
@@ -97,7 +97,7 @@
 	for _, n := range []int{200, 2000, 20000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			terms := sizeTerms
-			terms.Schemes = []SchemeRow{{SLA: 1000, Stretch: 1e6, Expiry: 1e9, Gain: 1, LateGain: 0.2, Kind: -1}}
+			terms.Schemes = []SchemeRow{{SLA: 1000, Stretch: 1e6, Expiry: 1e9, Gain: 1, LateGain: 0.2}}
 			c := newCrowd(b, terms, 100, 400)
 			for _, w := range c.s.list {
 				w.limit = 4
--- a/balance/staff_test.go
+++ b/balance/staff_test.go
@@ -85,7 +85,7 @@
 		t.Errorf("a once-only txn that may have run: %+v %v", f, ok)
 	}
 	// A scheme bound to a kind that none was bound to before finds its workers.
-	a.Kind = 0
+	a.Kinds = 1
 	fresh.Schemes = []SchemeRow{b, a}
 	s.Retune(fresh)
 	s.Arrived(800, Txn{Ref: "kind", Scheme: 1, Hint: 100, Slots: 1, Left: 500})
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -33,9 +33,15 @@
 	Expiry   float64
 	Gain     float64
 	LateGain float64 // share of the gain after the SLA time
-	Kind     int     // the one kind of worker that runs it, or -1
+	Zones    uint64  // the workers that may run it, a bit each, by their place in the settings; 0: all
+	Kinds    uint64
 }
 
+// Open tells whether a worker of a zone and kind may run it.
+func (r *SchemeRow) Open(zone, kind int) bool { return has(r.Zones, zone) && has(r.Kinds, kind) }
+
+func has(bits uint64, place int) bool { return bits == 0 || place >= 0 && bits>>min(place, 64)&1 > 0 }
+
 // Terms are what a scheduler is told at its start.
 type Terms struct {
 	Seed       uint64
@@ -59,6 +65,8 @@
 	ColdFor    float64
 	Fall       float64
 	FallTimes  float64
+	// In any time of BudgetFor, postings beyond each txn's first are at most BudgetFree and BudgetRatio a txn taken.
+	BudgetFor, BudgetFree, BudgetRatio float64 // BudgetFor 0: there is no such rule
 }
 
 // Txn is a request as it arrived.
@@ -187,9 +195,10 @@
 	heardAt  float64   // when it last began or settled a posting, or answered a probe
 	sent     []sending // while still cold
 	rankLoad float64   // at the last ranking
+	rankZone int
 	rankKind int
 	place    uint32 // in the list
-	slots    [2]int // its places in the rankings: of all workers, and of its kind
+	slots    []int  // its places in the rankings, -1 where it is not in one
 	placed   bool   // it is in them
 	touched  bool   // its load may have changed since
 	mine     bool   // cold, and it was this scheduler's turn at the last ranking
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,7 +35,7 @@
 		schemes = append(schemes, map[string]any{"name": rows[i].Name, "effect": effects[rows[i].Effect], "key_scope": c.Group,
 			"window": us(c.Window), "sla_time": us(c.SLA), "aim_stretch": c.Stretch, "expiry": us(c.Expiry),
 			"gain": c.Gain, "tardy_gain": c.Late})
-		kinds = append(kinds, rows[i].Kind)
+		kinds = append(kinds, slices.Index(p.Kinds(), c.Kind))
 	}
 	for _, t := range p.Clients.Tenants {
 		orgs = append(orgs, map[string]any{"name": t.Name, "quota_per_s": t.Quota})
--- a/lab/plan/layout.go
+++ b/lab/plan/layout.go
@@ -55,9 +55,9 @@
 func (p *Plan) Row(i int) balance.SchemeRow {
 	c := p.Schemes[i]
 	row := balance.SchemeRow{Name: c.Name, Effect: effects[c.Effect], Group: groups[c.Group], Window: float64(c.Window),
-		SLA: float64(c.SLA), Stretch: c.Stretch, Expiry: float64(c.Expiry), Gain: c.Gain, LateGain: c.Late, Kind: -1}
+		SLA: float64(c.SLA), Stretch: c.Stretch, Expiry: float64(c.Expiry), Gain: c.Gain, LateGain: c.Late}
 	if c.Kind != "" {
-		row.Kind = slices.Index(p.Kinds(), c.Kind)
+		row.Kinds = 1 << slices.Index(p.Kinds(), c.Kind)
 	}
 	return row
 }
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -243,7 +243,7 @@
 // may keeps the rules, and draws a cold worker only as often as it is warm.
 func (p *plain) may(now float64, t *owed, b *box) bool {
 	row := &t.row
-	if b.State != balance.Running || p.out[b.ID] || now < b.bad || row.Kind >= 0 && b.Kind != row.Kind {
+	if b.State != balance.Running || p.out[b.ID] || now < b.bad || !row.Open(b.Zone, b.Kind) {
 		return false
 	}
 	for _, x := range t.posts {
--- a/startup/startup.go
+++ b/startup/startup.go
@@ -39,6 +39,8 @@
 		Name     string   `json:"name"`
 		Effect   string   `json:"effect"`
 		Scope    string   `json:"key_scope"`
+		Zones    []any    `json:"zones_only"`
+		Kinds    []any    `json:"kinds_open"`
 		Window   int64    `json:"window"`
 		SLA      int64    `json:"sla_time"`
 		Aim      *float64 `json:"aim_stretch"`
@@ -71,11 +73,14 @@
 		Dial   int64 `json:"connect_timeout"`
 	} `json:"policy_limits"`
 	Rules struct {
-		ColdFrom  float64 `json:"cold_from"`
-		Cold      int64   `json:"cold"`
-		Fall      int64   `json:"fall"`
-		FallTimes float64 `json:"fall_multiple"`
-		AskIn     int64   `json:"must_ask_in"`
+		ColdFrom  float64  `json:"cold_from"`
+		Cold      int64    `json:"cold"`
+		Fall      int64    `json:"fall"`
+		FallTimes float64  `json:"fall_multiple"`
+		AskIn     int64    `json:"must_ask_in"`
+		Free      *float64 `json:"budget_free"`
+		Ratio     *float64 `json:"resend_ratio"`
+		For       *int64   `json:"look_back"`
 	} `json:"guarantees"`
 }
 
@@ -96,7 +101,11 @@
 	if n := f.Limits.Posts; n != nil && *n <= 0 {
 		return Told{}, fmt.Errorf("settings: policy_limits.max_postings: %d is not above 0", *n)
 	}
-	t := Told{Terms: f.terms(seed), Zones: f.Zones, Kinds: f.Kinds, Reports: len(f.Report.Fields) > 0,
+	terms, err := f.terms(seed)
+	if err != nil {
+		return Told{}, fmt.Errorf("settings: %w", err)
+	}
+	t := Told{Terms: terms, Zones: f.Zones, Kinds: f.Kinds, Reports: len(f.Report.Fields) > 0,
 		FreeSlots: f.Domain.X0 == "free slots",
 		Idle:      ms(f.Limits.Idle), Dial: ms(f.Limits.Dial)}
 	for _, c := range f.Schemes {
@@ -195,7 +204,7 @@
 func ms(us int64) float64 { return float64(us) / 1000 }
 
 // terms makes of it what the module is told.
-func (f *facts) terms(seed uint64) balance.Terms {
+func (f *facts) terms(seed uint64) (balance.Terms, error) {
 	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Zone: f.Zone, Tick: ms(f.Tick), OverGain: f.Surplus,
 		MaxPosts: math.MaxInt, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
 		Probes:     f.Limits.Probes,
@@ -210,7 +219,7 @@
 	}
 	for i, c := range f.Schemes {
 		row := balance.SchemeRow{Name: c.Name, Window: ms(c.Window), SLA: ms(c.SLA), Expiry: ms(c.Expiry), Gain: c.Gain,
-			LateGain: c.LateGain, Kind: -1}
+			LateGain: c.LateGain}
 		// An effect that is not known is taken for the strictest.
 		row.Effect = balance.OnceOnly
 		switch c.Effect {
@@ -226,8 +235,15 @@
 		case "zone":
 			row.Group = balance.GroupZone
 		}
-		if i < len(f.Domain.Kind) {
-			row.Kind = f.Domain.Kind[i]
+		var err error
+		if row.Zones, err = bits(c.Zones, f.Zones); err != nil {
+			return t, fmt.Errorf("schemes[%d].zones_only: %w", i, err)
+		}
+		if row.Kinds, err = bits(c.Kinds, f.Kinds); err != nil {
+			return t, fmt.Errorf("schemes[%d].kinds_open: %w", i, err)
+		}
+		if i < len(f.Domain.Kind) && f.Domain.Kind[i] >= 0 {
+			row.Kinds = 1 << min(f.Domain.Kind[i], most)
 		}
 		if i < len(f.Domain.Stretch) {
 			row.Stretch = f.Domain.Stretch[i]
@@ -239,5 +255,51 @@
 	for _, o := range f.Orgs {
 		t.Quota = append(t.Quota, o.Quota)
 	}
-	return t
+	r := &f.Rules
+	if r.Free == nil && r.Ratio == nil && r.For == nil {
+		return t, nil
+	}
+	switch {
+	case r.For == nil || *r.For <= 0:
+		return t, fmt.Errorf("guarantees.look_back: a budget of postings needs a time above 0")
+	case r.Free != nil && *r.Free < 0:
+		return t, fmt.Errorf("guarantees.budget_free: %v is below 0", *r.Free)
+	case r.Ratio != nil && *r.Ratio < 0:
+		return t, fmt.Errorf("guarantees.resend_ratio: %v is below 0", *r.Ratio)
+	}
+	t.BudgetFor = ms(*r.For)
+	if r.Free != nil {
+		t.BudgetFree = *r.Free
+	}
+	if r.Ratio != nil {
+		t.BudgetRatio = *r.Ratio
+	}
+	return t, nil
+}
+
+// most is how many zones or kinds a scheme can be bound to a part of.
+const most = 63
+
+// bits makes a set of places of what a scheme is bound to: names, or places themselves. Left out there is no
+// bound; what is not known would open the scheme to all, and is refused.
+func bits(open []any, names []string) (set uint64, err error) {
+	if open != nil && len(open) == 0 {
+		return 0, fmt.Errorf("no worker is open to it")
+	}
+	for _, x := range open {
+		at := -1
+		switch x := x.(type) {
+		case string:
+			at = slices.Index(names, x)
+		case float64:
+			if at = int(x); float64(at) != x || len(names) > 0 && at >= len(names) {
+				at = -1
+			}
+		}
+		if at < 0 || at > most {
+			return 0, fmt.Errorf("%v is not known", x)
+		}
+		set |= 1 << at
+	}
+	return set, nil
 }
--- a/startup/startup_test.go
+++ b/startup/startup_test.go
@@ -1,6 +1,7 @@
 package startup
 
 import (
+	"strings"
 	"testing"
 
 	"shalebeam/balance"
@@ -9,7 +10,7 @@
 func TestDecode(t *testing.T) {
 	told, err := Decode([]byte(`{"my_number":2,"peers_total":3,"tick":2000,"membership_mode":"subscribe",
 "weights":"live","new":{"x":1},
-"zones":["a","b"],"kinds":["k"],"domain":{"class_kind":[-1,0],"class_stretch":[2.5],
+"zones":["a","b"],"kinds":["k","l"],"domain":{"class_kind":[-1,0],"class_stretch":[2.5],
 "report_x0":"free slots"},"report":{"fields":["x0"]},"orgs":[{"name":"o","quota_per_s":4}],
 "policy_limits":{"max_retry_after":2000000,"retry_after":true,"conn_idle":10000000,"connect_timeout":250000},
 "schemes":[
@@ -24,9 +25,9 @@
 		t.Errorf("terms: %+v", w)
 	}
 	s := balance.SchemeRow{Name: "s", Effect: balance.Referenced, Group: balance.GroupZone, Window: 40000, SLA: 500,
-		Stretch: 2.5, Expiry: 7500, Kind: -1}
+		Stretch: 2.5, Expiry: 7500}
 	// An effect that is not known is the strictest.
-	u := balance.SchemeRow{Name: "t", Effect: balance.OnceOnly, Group: balance.GroupCell, Expiry: 1, Stretch: 1.5, Kind: 0}
+	u := balance.SchemeRow{Name: "t", Effect: balance.OnceOnly, Group: balance.GroupCell, Expiry: 1, Stretch: 1.5, Kinds: 1}
 	if w.Schemes[0] != s || w.Schemes[1] != u {
 		t.Errorf("schemes: %+v", w.Schemes)
 	}
@@ -89,3 +90,36 @@
 		t.Errorf("kept of the same: %v", kept)
 	}
 }
+
+func TestBoundSchemesAndBudget(t *testing.T) {
+	const head = `{"zones":["a","b"],"kinds":["k","l"],"schemes":[{"name":"s","expiry":1000,`
+	told, err := Decode([]byte(head+`"zones_only":["b",0],"kinds_open":[1]}],
+"guarantees":{"budget_free":1,"resend_ratio":0.05,"look_back":2000000}}`), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := told.Terms; w.Schemes[0].Zones != 3 || w.Schemes[0].Kinds != 2 || w.BudgetFor != 2000 ||
+		w.BudgetFree != 1 || w.BudgetRatio != 0.05 {
+		t.Errorf("got %+v", w)
+	}
+	for raw, key := range map[string]string{
+		`"zones_only":["c"]}]}`:                                         "schemes[0].zones_only",
+		`"zones_only":[2]}]}`:                                           "schemes[0].zones_only",
+		`"kinds_open":[]}]}`:                                            "schemes[0].kinds_open",
+		`"kinds_open":[0.5]}]}`:                                         "schemes[0].kinds_open",
+		`"gain":1}],"guarantees":{"budget_free":1}}`:                    "guarantees.look_back",
+		`"gain":1}],"guarantees":{"look_back":0}}`:                      "guarantees.look_back",
+		`"gain":1}],"guarantees":{"look_back":-5}}`:                     "guarantees.look_back",
+		`"gain":1}],"guarantees":{"look_back":5,"budget_free":-1}}`:     "guarantees.budget_free",
+		`"gain":1}],"guarantees":{"look_back":5,"resend_ratio":-0.01}}`: "guarantees.resend_ratio",
+	} {
+		if _, err := Decode([]byte(head+raw), 1); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v, want %s named", raw, err, key)
+		}
+	}
+	// Literally: no posting beyond the first, ever.
+	told, err = Decode([]byte(head+`"gain":1}],"guarantees":{"budget_free":0,"resend_ratio":0,"look_back":5}}`), 1)
+	if err != nil || told.Terms.BudgetFor != 0.005 || told.Terms.BudgetFree != 0 {
+		t.Errorf("got %+v %v", told.Terms, err)
+	}
+}
