All that decides stands in balance.go: rankings and endings come, plain inputs go to known.go

Change: those, and what they use, are in balance.go; inputs that only update what is known are in known.go.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,7 +3,8 @@
 // One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Started, Ended, Gone,
 // ListChanged, Watched, Probed, Heard, Stops: they only update what is known), then pulls decisions, one a
 // call, until none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls
-// again at Wake. The types that cross this edge are in terms.go. The ordinary path is ADUS: see rerank, band,
+// again at Wake. The types that cross this edge are in terms.go, the inputs that only keep what is known in known.go.
+// The ordinary path is ADUS: see rerank, band,
 // pick. The list is followed as it is told (NextWatch where it has to be asked for). Beside these stand six
 // mechanisms, some in another form among many schedulers (see thin):
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
@@ -157,112 +158,6 @@
 
 // ---- what is known ----
 
-// ListChanged takes the list, whole or only its changes.
-func (s *Scheduler) ListChanged(now float64, whole bool, rows []Listed) {
-	old, all := s.list, whole
-	if whole {
-		for _, w := range old {
-			w.here = false
-		}
-		s.list = nil
-	}
-	for _, row := range rows {
-		r := s.staffing(row)
-		w := s.byID[r.ID]
-		if w == nil {
-			w = &worker{free: -1, fullAt: math.Inf(-1), limit: math.MaxInt}
-			s.byID[r.ID] = w
-		}
-		if w.Start != r.Start {
-			// What was learned of the process before its restart says nothing of this one.
-			*w = worker{here: w.here, own: w.own, unbegun: w.unbegun, sent: w.sent, free: -1, fullAt: math.Inf(-1),
-				limit: math.MaxInt, most: w.most, placed: w.placed, slots: w.slots, rankLoad: w.rankLoad, touched: w.touched, sick: w.sick}
-		}
-		if s.terms.LiveWeight && r.Weight > s.sizes[r.Kind] {
-			s.sizes[r.Kind], all = r.Weight, true
-		}
-		s.touch(w)
-		w.Listed, w.row, w.hash = r, row, crc32.ChecksumIEEE([]byte(r.ID))
-		if r.State != Removed && !w.here {
-			s.list = append(s.list, w)
-		}
-		w.here = r.State != Removed
-	}
-	for _, w := range old {
-		if !w.here {
-			s.touch(w)
-			if len(w.own) == 0 {
-				delete(s.byID, w.ID)
-			}
-		}
-	}
-	s.list = slices.DeleteFunc(s.list, func(w *worker) bool { return !w.here })
-	for _, w := range s.young {
-		s.touch(w) // it may be warm by now
-	}
-	s.live, s.young = 0, s.young[:0]
-	for i, w := range s.list {
-		if w.place = uint32(i); all {
-			s.touch(w)
-		}
-		if w.State == Running {
-			s.live++
-		}
-		if s.cold(now, w) {
-			s.young = append(s.young, w)
-		}
-	}
-	s.stale = true
-	if s.born < 0 {
-		s.born = now
-		// What this scheduler sent before its own restart is forgotten, and still counts.
-		s.coldAt = max(s.coldAt, now+s.terms.Fall)
-		// There is a list to begin with: the watch can wait for this scheduler's turn.
-		s.watchAt = now + s.watchRound()*float64(s.terms.Me)/float64(max(s.terms.Peers, 1))
-	}
-}
-
-// Withdrawn tells that staff took a worker out: it counts as draining, whatever the list says, until Returned.
-func (s *Scheduler) Withdrawn(now float64, id string) {
-	v := s.staffed[id]
-	if v == nil {
-		v = &staffed{}
-		s.staffed[id] = v
-	}
-	v.out, v.since = true, now
-	s.relist(now, id)
-}
-
-// Returned tells that staff put a worker back.
-func (s *Scheduler) Returned(now float64, id string) {
-	if v := s.staffed[id]; v != nil && v.out {
-		v.out, v.back = false, now
-		s.relist(now, id)
-	}
-}
-
-func (s *Scheduler) relist(now float64, id string) {
-	if w := s.byID[id]; w != nil && w.here {
-		s.ListChanged(now, false, []Listed{w.row})
-	}
-}
-
-// staffing is how a worker of the list stands after what staff did with it. One that was put back is cold from
-// then on, as the list may be late with its restart.
-func (s *Scheduler) staffing(r Listed) Listed {
-	v := s.staffed[r.ID]
-	if v == nil {
-		return r
-	}
-	if v.out && r.State == Running {
-		r.State = Draining
-	}
-	if v.back > 0 && r.Start <= v.since {
-		r.Start = v.back
-	}
-	return r
-}
-
 // Watched tells that the list request sent before was answered, or failed.
 func (s *Scheduler) Watched(now float64, ok bool) {
 	s.watching = ok
@@ -324,26 +219,6 @@
 
 func (t *txn) run() float64 { return t.cost / max(t.Slots, 1) }
 
-// keepKey counts the keys of the last txns, to know how much of the work asks for each.
-func (s *Scheduler) keepKey(hash uint32) {
-	s.keys = append(s.keys, hash)
-	s.asked[hash]++
-	if len(s.keys) > costsKept {
-		if s.asked[s.keys[0]]--; s.asked[s.keys[0]] == 0 {
-			delete(s.asked, s.keys[0])
-		}
-		s.keys = s.keys[1:]
-	}
-}
-
-func (s *Scheduler) posting(ref string, no int) *posting {
-	t := s.txns[ref]
-	if t == nil || no < 0 || no >= len(t.posts) {
-		return nil
-	}
-	return t.posts[no]
-}
-
 // Started tells that a posting has begun to run.
 func (s *Scheduler) Started(now float64, ref string, no int) {
 	p := s.posting(ref, no)
@@ -449,13 +324,6 @@
 	}
 }
 
-func (s *Scheduler) report(w *worker, load Load) {
-	if load.Free >= 0 {
-		w.free, w.ownThen = load.Free, len(w.own)
-		s.touch(w)
-	}
-}
-
 // Probed tells what came of a probe.
 func (s *Scheduler) Probed(now float64, id string, how Outcome, load Load) {
 	w := s.byID[id]
@@ -472,106 +340,183 @@
 	}
 }
 
-// Heard takes a peer's message: its postings in flight by worker.
-func (s *Scheduler) Heard(now float64, from int, body []byte) {
-	said := map[uint16]int{}
-	for ; len(body) >= 3; body = body[3:] {
-		said[binary.BigEndian.Uint16(body)] = int(body[2])
+// ---- the ordinary path: ADUS ----
+
+// listed tells that the list says more of loads than own postings and answers do.
+func (s *Scheduler) listed() bool { return s.terms.LiveWeight && s.thin() }
+
+// queue is how long a worker that holds so many txns for each core keeps a new one waiting.
+func (s *Scheduler) queue(holds float64) float64 { return max(holds-1, 0) * s.runs.at(0.5, 300) }
+
+// holds is how many txns a worker holds for each core, as listed some time ago.
+func (s *Scheduler) holds(w *worker) float64 { return s.sizes[w.Kind]/max(w.Weight, 1e-3) - 1 }
+
+// load is what the ranking sorts by: reported free slots, put right by own postings since, else own postings.
+func (s *Scheduler) load(w *worker) float64 {
+	if s.listed() {
+		return s.holds(w) // what reports tell with each answer is far older here
 	}
-	for _, w := range s.list {
-		if n := said[uint16(w.hash)]; n != w.peers[from] {
-			if w.peers == nil {
-				w.peers = map[int]int{}
-			}
-			w.told += n - w.peers[from]
-			w.peers[from] = n
-			s.touch(w)
-		}
+	if w.free >= 0 {
+		return -(w.free + float64(w.ownThen-len(w.own)))
 	}
-	s.heardAt[from] = now
+	return float64(w.known())
 }
 
-// forget drops what a peer said that has been silent for long: it was killed, and its postings end unseen.
-func (s *Scheduler) forget(now float64) {
-	for from, at := range s.heardAt {
-		if now > at+30*s.tellGap() {
-			delete(s.heardAt, from)
-			for _, w := range s.list {
-				if n := w.peers[from]; n > 0 {
-					w.told -= n
-					s.touch(w)
-				}
-				delete(w.peers, from)
+// rerank takes the workers touched since the last ranking to where they now belong.
+func (s *Scheduler) rerank(now float64) {
+	s.forget(now)
+	s.turns, s.running = s.turns[:0], s.live
+	s.salt, s.draws = s.draws, s.draws+uint32(len(s.list))
+	s.young = slices.DeleteFunc(s.young, func(w *worker) bool {
+		// A cold worker is ready only in this scheduler's turn.
+		cold := s.cold(now, w) && w.here
+		if w.mine = false; cold && w.State == Running && s.terms.Peers > 1 {
+			if _, w.mine = s.turn(now, w); w.mine {
+				s.turns = append(s.turns, w)
+			}
+		}
+		s.touch(w)
+		return !cold
+	})
+	for _, w := range s.touched {
+		w.touched = false
+		ready := w.here && w.State == Running && (w.mine || s.terms.Peers <= 1 || !s.cold(now, w))
+		load := s.load(w)
+		if w.placed && ready && load == w.rankLoad && w.rankZone == w.Zone && w.rankKind == w.Kind {
+			continue
+		}
+		for _, r := range s.ranks {
+			if w.placed && w.slots[r.no] >= 0 {
+				r.take(w)
+			}
+		}
+		if w.placed = ready; ready {
+			w.rankLoad, w.rankZone, w.rankKind = load, w.Zone, w.Kind
+			for _, r := range s.ranks {
+				s.place(r, w)
 			}
 		}
 	}
+	s.touched = s.touched[:0]
+	for _, r := range s.ranks {
+		r.begin()
+	}
+	s.cut()
+	clear(s.carried)
+	s.since, s.stale, s.rankAt = 0, false, now
 }
 
-// known counts the postings in flight at a worker, own ones and those that peers have told of.
-func (w *worker) known() int {
-	return len(w.own) + w.told
+// band tells in which of n bands of equal work a cost lies, by the histogram as it was at the last ranking.
+// Within a bin the cut lies where the share is reached, or all jobs of one cost go to one band.
+func (s *Scheduler) band(n int, cost float64) int {
+	if s.below[numBins] == 0 {
+		s.cut()
+	}
+	at := min(max(math.Log2(max(cost, 1e-3))*binsPerDouble+40, 0), numBins-0.01)
+	b := int(at)
+	work := s.below[b] + (s.below[b+1]-s.below[b])*(at-float64(b))
+	return min(int(work/max(s.below[numBins], 1)*float64(n)), n-1)
 }
 
-// Gone tells that a client has left, or that its txn is over.
-func (s *Scheduler) Gone(now float64, ref string) {
-	if t := s.txns[ref]; t != nil {
-		s.end(t)
+// cut sums the histogram's work up, bin by bin.
+func (s *Scheduler) cut() {
+	for b, k := range s.bins {
+		s.below[b+1] = s.below[b] + float64(k)*costs[b]
 	}
 }
 
-// Stops tells that this scheduler ends by a time: a txn that waited for its own expiry would be lost with it.
-func (s *Scheduler) Stops(by float64) {
-	s.stopAt = by
-	for _, t := range s.txns {
-		t.due, t.until = min(t.due, by), min(t.until, by)
-	}
-	for _, t := range s.held.all {
-		if t != nil {
-			s.hold(t)
-		}
+// dueNow is when a held txn is given up. It was reckoned when it was held, but for what goes by the queues.
+func (s *Scheduler) dueNow(t *txn, crowded bool) float64 {
+	if s.queues(t) {
+		return s.decideAt(t, crowded)
 	}
+	return t.dueAt[place(crowded)]
 }
 
-// Yields tells that another process of this scheduler may send to cold workers, and speaks to peers, instead of
-// this one: both together have one scheduler's part.
-func (s *Scheduler) Yields() { s.coldAt, s.yields = math.Inf(1), true }
-
-// Leads tells that this process may from now on.
-func (s *Scheduler) Leads(now float64) { s.coldAt, s.ledAt, s.yields = now+s.terms.Fall, now, false }
+// queues tells of a txn whose end goes by the queues that the list shows.
+func (s *Scheduler) queues(t *txn) bool {
+	return s.listed() && t.row().Effect == OnceOnly
+}
 
-func (s *Scheduler) end(t *txn) {
-	if t.over {
-		return
+// giveUpAt is when the first held txn is given up.
+func (s *Scheduler) giveUpAt(crowded bool) float64 {
+	at := math.Inf(1)
+	if s.listed() {
+		for _, t := range s.held.all {
+			if t != nil && s.queues(t) {
+				at = min(at, s.decideAt(t, crowded))
+			}
+		}
 	}
-	t.over = true
-	s.held.drop(t)
-	if t.out > 0 {
-		s.excess = append(s.excess, t)
-	} else {
-		delete(s.txns, t.Ref)
+	i := place(crowded)
+	due := &s.due[i]
+	for len(*due) > 0 {
+		if a := (*due)[0]; a.t.held && a.at == a.t.dueAt[i] && !s.queues(a.t) {
+			break
+		}
+		due.pop()
 	}
+	return min(at, due.next())
 }
 
-// ---- the ordinary path: ADUS ----
+// rankingOf is the ranking of the workers that a row is open to. It is made once for all rows that are open alike.
+func (s *Scheduler) rankingOf(row *SchemeRow) *ranking {
+	for _, r := range s.ranks {
+		if r.open.Zones == row.Zones && r.open.Kinds == row.Kinds {
+			return r
+		}
+	}
+	r := &ranking{no: len(s.ranks), open: SchemeRow{Zones: row.Zones, Kinds: row.Kinds}, draw: s.tie}
+	s.ranks = append(s.ranks, r)
+	if r.no > 0 {
+		s.ranks[0].each(func(w *worker) bool {
+			s.place(r, w)
+			return false
+		})
+	}
+	r.begin()
+	return r
+}
 
-// listed tells that the list says more of loads than own postings and answers do.
-func (s *Scheduler) listed() bool { return s.terms.LiveWeight && s.thin() }
+// place puts a worker in a ranking, where it belongs there.
+func (s *Scheduler) place(r *ranking, w *worker) {
+	for len(w.slots) < len(s.ranks) {
+		w.slots = append(w.slots, -1)
+	}
+	if r.open.Open(w.rankZone, w.rankKind) {
+		r.put(w)
+	}
+}
 
-// queue is how long a worker that holds so many txns for each core keeps a new one waiting.
-func (s *Scheduler) queue(holds float64) float64 { return max(holds-1, 0) * s.runs.at(0.5, 300) }
+// tie orders those of equal load: the draw that belongs to this ranking and the place in the list.
+func (s *Scheduler) tie(w *worker) uint32 { return s.draw(s.salt + w.place) }
 
-// holds is how many txns a worker holds for each core, as listed some time ago.
-func (s *Scheduler) holds(w *worker) float64 { return s.sizes[w.Kind]/max(w.Weight, 1e-3) - 1 }
+// untold are postings that have not begun, where beginnings are told: elsewhere that says nothing.
+func (s *Scheduler) untold() []*posting {
+	if !s.terms.TellsStart {
+		return nil
+	}
+	return s.waits
+}
 
-// load is what the ranking sorts by: reported free slots, put right by own postings since, else own postings.
-func (s *Scheduler) load(w *worker) float64 {
-	if s.listed() {
-		return s.holds(w) // what reports tell with each answer is far older here
+// doubted goes through the listed workers that a probe may be for: those that failed lately, and those where a
+// posting has not begun.
+func (s *Scheduler) doubted(now float64, f func(w *worker)) {
+	s.sick = slices.DeleteFunc(s.sick, func(w *worker) bool {
+		w.sick = w.here && (w.fails > 0 || w.bad > 0 || now < max(w.aside, w.badTill))
+		return !w.sick
+	})
+	if !s.terms.Probes {
+		return
 	}
-	if w.free >= 0 {
-		return -(w.free + float64(w.ownThen-len(w.own)))
+	for _, w := range s.sick {
+		f(w)
+	}
+	for _, p := range s.untold() {
+		if p.w.here {
+			f(p.w)
+		}
 	}
-	return float64(w.known())
 }
 
 // pick finds the worker for a txn: that of its band's rank, else the next rank with room.
--- a/balance/known.go
+++ b/balance/known.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"hash/crc32"
 	"math"
 	"slices"
 )
 
-// How the module keeps what it knows, so that a decision need not go through all of it: who is ranked where, who
-// failed lately, who is held until when, where the work lies. Nothing is decided here.
+// What the module knows: the inputs that only update it, and how it is kept so that a decision need not go through
+// all of it. Nothing is decided here.
 
 // touch marks a worker whose load may have changed, or whether it is ranked.
 func (s *Scheduler) touch(w *worker) {
@@ -57,197 +59,253 @@
 	}
 }
 
-// rankingOf is the ranking of the workers that a row is open to. It is made once for all rows that are open alike.
-func (s *Scheduler) rankingOf(row *SchemeRow) *ranking {
-	for _, r := range s.ranks {
-		if r.open.Zones == row.Zones && r.open.Kinds == row.Kinds {
-			return r
-		}
+func place(crowded bool) int {
+	if crowded {
+		return 1
 	}
-	r := &ranking{no: len(s.ranks), open: SchemeRow{Zones: row.Zones, Kinds: row.Kinds}, draw: s.tie}
-	s.ranks = append(s.ranks, r)
-	if r.no > 0 {
-		s.ranks[0].each(func(w *worker) bool {
-			s.place(r, w)
-			return false
-		})
+	return 0
+}
+
+func (s *Scheduler) keepCost(c float64) {
+	b := uint8(min(max(int(math.Log2(max(c, 1e-3))*binsPerDouble)+40, 0), numBins-1))
+	if len(s.costs) < costsKept {
+		s.costs = append(s.costs, b)
+	} else {
+		s.bins[s.costs[s.costAt]]--
+		s.costs[s.costAt] = b
+		s.costAt = (s.costAt + 1) % costsKept
 	}
-	r.begin()
-	return r
+	s.bins[b]++
 }
 
-// place puts a worker in a ranking, where it belongs there.
-func (s *Scheduler) place(r *ranking, w *worker) {
-	for len(w.slots) < len(s.ranks) {
-		w.slots = append(w.slots, -1)
+// costs holds each bin's cost.
+var costs = func() (c [numBins]float64) {
+	for b := range c {
+		c[b] = math.Exp2((float64(b-40) + 0.5) / binsPerDouble)
 	}
-	if r.open.Open(w.rankZone, w.rankKind) {
-		r.put(w)
+	return c
+}()
+
+func (s *Scheduler) median() float64 {
+	n := 0
+	for b, k := range s.bins {
+		n += k
+		if k > 0 && 2*n >= len(s.costs) {
+			return costs[b]
+		}
 	}
+	return 1
 }
 
-// tie orders those of equal load: the draw that belongs to this ranking and the place in the list.
-func (s *Scheduler) tie(w *worker) uint32 { return s.draw(s.salt + w.place) }
-
-// rerank takes the workers touched since the last ranking to where they now belong.
-func (s *Scheduler) rerank(now float64) {
-	s.forget(now)
-	s.turns, s.running = s.turns[:0], s.live
-	s.salt, s.draws = s.draws, s.draws+uint32(len(s.list))
-	s.young = slices.DeleteFunc(s.young, func(w *worker) bool {
-		// A cold worker is ready only in this scheduler's turn.
-		cold := s.cold(now, w) && w.here
-		if w.mine = false; cold && w.State == Running && s.terms.Peers > 1 {
-			if _, w.mine = s.turn(now, w); w.mine {
-				s.turns = append(s.turns, w)
-			}
+// ListChanged takes the list, whole or only its changes.
+func (s *Scheduler) ListChanged(now float64, whole bool, rows []Listed) {
+	old, all := s.list, whole
+	if whole {
+		for _, w := range old {
+			w.here = false
+		}
+		s.list = nil
+	}
+	for _, row := range rows {
+		r := s.staffing(row)
+		w := s.byID[r.ID]
+		if w == nil {
+			w = &worker{free: -1, fullAt: math.Inf(-1), limit: math.MaxInt}
+			s.byID[r.ID] = w
+		}
+		if w.Start != r.Start {
+			// What was learned of the process before its restart says nothing of this one.
+			*w = worker{here: w.here, own: w.own, unbegun: w.unbegun, sent: w.sent, free: -1, fullAt: math.Inf(-1),
+				limit: math.MaxInt, most: w.most, placed: w.placed, slots: w.slots, rankLoad: w.rankLoad, touched: w.touched, sick: w.sick}
+		}
+		if s.terms.LiveWeight && r.Weight > s.sizes[r.Kind] {
+			s.sizes[r.Kind], all = r.Weight, true
 		}
 		s.touch(w)
-		return !cold
-	})
-	for _, w := range s.touched {
-		w.touched = false
-		ready := w.here && w.State == Running && (w.mine || s.terms.Peers <= 1 || !s.cold(now, w))
-		load := s.load(w)
-		if w.placed && ready && load == w.rankLoad && w.rankZone == w.Zone && w.rankKind == w.Kind {
-			continue
-		}
-		for _, r := range s.ranks {
-			if w.placed && w.slots[r.no] >= 0 {
-				r.take(w)
-			}
+		w.Listed, w.row, w.hash = r, row, crc32.ChecksumIEEE([]byte(r.ID))
+		if r.State != Removed && !w.here {
+			s.list = append(s.list, w)
 		}
-		if w.placed = ready; ready {
-			w.rankLoad, w.rankZone, w.rankKind = load, w.Zone, w.Kind
-			for _, r := range s.ranks {
-				s.place(r, w)
+		w.here = r.State != Removed
+	}
+	for _, w := range old {
+		if !w.here {
+			s.touch(w)
+			if len(w.own) == 0 {
+				delete(s.byID, w.ID)
 			}
 		}
 	}
-	s.touched = s.touched[:0]
-	for _, r := range s.ranks {
-		r.begin()
+	s.list = slices.DeleteFunc(s.list, func(w *worker) bool { return !w.here })
+	for _, w := range s.young {
+		s.touch(w) // it may be warm by now
 	}
-	s.cut()
-	clear(s.carried)
-	s.since, s.stale, s.rankAt = 0, false, now
-}
-
-// band tells in which of n bands of equal work a cost lies, by the histogram as it was at the last ranking.
-// Within a bin the cut lies where the share is reached, or all jobs of one cost go to one band.
-func (s *Scheduler) band(n int, cost float64) int {
-	if s.below[numBins] == 0 {
-		s.cut()
+	s.live, s.young = 0, s.young[:0]
+	for i, w := range s.list {
+		if w.place = uint32(i); all {
+			s.touch(w)
+		}
+		if w.State == Running {
+			s.live++
+		}
+		if s.cold(now, w) {
+			s.young = append(s.young, w)
+		}
+	}
+	s.stale = true
+	if s.born < 0 {
+		s.born = now
+		// What this scheduler sent before its own restart is forgotten, and still counts.
+		s.coldAt = max(s.coldAt, now+s.terms.Fall)
+		// There is a list to begin with: the watch can wait for this scheduler's turn.
+		s.watchAt = now + s.watchRound()*float64(s.terms.Me)/float64(max(s.terms.Peers, 1))
 	}
-	at := min(max(math.Log2(max(cost, 1e-3))*binsPerDouble+40, 0), numBins-0.01)
-	b := int(at)
-	work := s.below[b] + (s.below[b+1]-s.below[b])*(at-float64(b))
-	return min(int(work/max(s.below[numBins], 1)*float64(n)), n-1)
 }
 
-// cut sums the histogram's work up, bin by bin.
-func (s *Scheduler) cut() {
-	for b, k := range s.bins {
-		s.below[b+1] = s.below[b] + float64(k)*costs[b]
+// Withdrawn tells that staff took a worker out: it counts as draining, whatever the list says, until Returned.
+func (s *Scheduler) Withdrawn(now float64, id string) {
+	v := s.staffed[id]
+	if v == nil {
+		v = &staffed{}
+		s.staffed[id] = v
 	}
+	v.out, v.since = true, now
+	s.relist(now, id)
 }
 
-// dueNow is when a held txn is given up. It was reckoned when it was held, but for what goes by the queues.
-func (s *Scheduler) dueNow(t *txn, crowded bool) float64 {
-	if s.queues(t) {
-		return s.decideAt(t, crowded)
+// Returned tells that staff put a worker back.
+func (s *Scheduler) Returned(now float64, id string) {
+	if v := s.staffed[id]; v != nil && v.out {
+		v.out, v.back = false, now
+		s.relist(now, id)
 	}
-	return t.dueAt[place(crowded)]
 }
 
-func place(crowded bool) int {
-	if crowded {
-		return 1
+func (s *Scheduler) relist(now float64, id string) {
+	if w := s.byID[id]; w != nil && w.here {
+		s.ListChanged(now, false, []Listed{w.row})
 	}
-	return 0
 }
 
-// queues tells of a txn whose end goes by the queues that the list shows.
-func (s *Scheduler) queues(t *txn) bool {
-	return s.listed() && t.row().Effect == OnceOnly
+// staffing is how a worker of the list stands after what staff did with it. One that was put back is cold from
+// then on, as the list may be late with its restart.
+func (s *Scheduler) staffing(r Listed) Listed {
+	v := s.staffed[r.ID]
+	if v == nil {
+		return r
+	}
+	if v.out && r.State == Running {
+		r.State = Draining
+	}
+	if v.back > 0 && r.Start <= v.since {
+		r.Start = v.back
+	}
+	return r
 }
 
-// giveUpAt is when the first held txn is given up.
-func (s *Scheduler) giveUpAt(crowded bool) float64 {
-	at := math.Inf(1)
-	if s.listed() {
-		for _, t := range s.held.all {
-			if t != nil && s.queues(t) {
-				at = min(at, s.decideAt(t, crowded))
-			}
+// keepKey counts the keys of the last txns, to know how much of the work asks for each.
+func (s *Scheduler) keepKey(hash uint32) {
+	s.keys = append(s.keys, hash)
+	s.asked[hash]++
+	if len(s.keys) > costsKept {
+		if s.asked[s.keys[0]]--; s.asked[s.keys[0]] == 0 {
+			delete(s.asked, s.keys[0])
 		}
+		s.keys = s.keys[1:]
 	}
-	i := place(crowded)
-	due := &s.due[i]
-	for len(*due) > 0 {
-		if a := (*due)[0]; a.t.held && a.at == a.t.dueAt[i] && !s.queues(a.t) {
-			break
-		}
-		due.pop()
-	}
-	return min(at, due.next())
 }
 
-// untold are postings that have not begun, where beginnings are told: elsewhere that says nothing.
-func (s *Scheduler) untold() []*posting {
-	if !s.terms.TellsStart {
+func (s *Scheduler) posting(ref string, no int) *posting {
+	t := s.txns[ref]
+	if t == nil || no < 0 || no >= len(t.posts) {
 		return nil
 	}
-	return s.waits
+	return t.posts[no]
 }
 
-// doubted goes through the listed workers that a probe may be for: those that failed lately, and those where a
-// posting has not begun.
-func (s *Scheduler) doubted(now float64, f func(w *worker)) {
-	s.sick = slices.DeleteFunc(s.sick, func(w *worker) bool {
-		w.sick = w.here && (w.fails > 0 || w.bad > 0 || now < max(w.aside, w.badTill))
-		return !w.sick
-	})
-	if !s.terms.Probes {
-		return
+func (s *Scheduler) report(w *worker, load Load) {
+	if load.Free >= 0 {
+		w.free, w.ownThen = load.Free, len(w.own)
+		s.touch(w)
 	}
-	for _, w := range s.sick {
-		f(w)
+}
+
+// Heard takes a peer's message: its postings in flight by worker.
+func (s *Scheduler) Heard(now float64, from int, body []byte) {
+	said := map[uint16]int{}
+	for ; len(body) >= 3; body = body[3:] {
+		said[binary.BigEndian.Uint16(body)] = int(body[2])
 	}
-	for _, p := range s.untold() {
-		if p.w.here {
-			f(p.w)
+	for _, w := range s.list {
+		if n := said[uint16(w.hash)]; n != w.peers[from] {
+			if w.peers == nil {
+				w.peers = map[int]int{}
+			}
+			w.told += n - w.peers[from]
+			w.peers[from] = n
+			s.touch(w)
 		}
 	}
+	s.heardAt[from] = now
 }
 
-func (s *Scheduler) keepCost(c float64) {
-	b := uint8(min(max(int(math.Log2(max(c, 1e-3))*binsPerDouble)+40, 0), numBins-1))
-	if len(s.costs) < costsKept {
-		s.costs = append(s.costs, b)
-	} else {
-		s.bins[s.costs[s.costAt]]--
-		s.costs[s.costAt] = b
-		s.costAt = (s.costAt + 1) % costsKept
+// forget drops what a peer said that has been silent for long: it was killed, and its postings end unseen.
+func (s *Scheduler) forget(now float64) {
+	for from, at := range s.heardAt {
+		if now > at+30*s.tellGap() {
+			delete(s.heardAt, from)
+			for _, w := range s.list {
+				if n := w.peers[from]; n > 0 {
+					w.told -= n
+					s.touch(w)
+				}
+				delete(w.peers, from)
+			}
+		}
 	}
-	s.bins[b]++
 }
 
-// costs holds each bin's cost.
-var costs = func() (c [numBins]float64) {
-	for b := range c {
-		c[b] = math.Exp2((float64(b-40) + 0.5) / binsPerDouble)
+// known counts the postings in flight at a worker, own ones and those that peers have told of.
+func (w *worker) known() int {
+	return len(w.own) + w.told
+}
+
+// Gone tells that a client has left, or that its txn is over.
+func (s *Scheduler) Gone(now float64, ref string) {
+	if t := s.txns[ref]; t != nil {
+		s.end(t)
 	}
-	return c
-}()
+}
 
-func (s *Scheduler) median() float64 {
-	n := 0
-	for b, k := range s.bins {
-		n += k
-		if k > 0 && 2*n >= len(s.costs) {
-			return costs[b]
+// Stops tells that this scheduler ends by a time: a txn that waited for its own expiry would be lost with it.
+func (s *Scheduler) Stops(by float64) {
+	s.stopAt = by
+	for _, t := range s.txns {
+		t.due, t.until = min(t.due, by), min(t.until, by)
+	}
+	for _, t := range s.held.all {
+		if t != nil {
+			s.hold(t)
 		}
 	}
-	return 1
+}
+
+// Yields tells that another process of this scheduler may send to cold workers, and speaks to peers, instead of
+// this one: both together have one scheduler's part.
+func (s *Scheduler) Yields() { s.coldAt, s.yields = math.Inf(1), true }
+
+// Leads tells that this process may from now on.
+func (s *Scheduler) Leads(now float64) { s.coldAt, s.ledAt, s.yields = now+s.terms.Fall, now, false }
+
+func (s *Scheduler) end(t *txn) {
+	if t.over {
+		return
+	}
+	t.over = true
+	s.held.drop(t)
+	if t.out > 0 {
+		s.excess = append(s.excess, t)
+	} else {
+		delete(s.txns, t.Ref)
+	}
 }
