--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,6 +44,7 @@
 	warmEarly     = 2.0    // among many: a worker is taken to be warm so many times sooner than at the latest
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
+	settledMark   = 0x80   // in an entry of a scheme that failed: it has settled since
 )
 
 // Scheduler holds all that one scheduler knows.
@@ -99,8 +100,9 @@
 	richest     float64              // the most gain that a txn of any scheme has
 	longest     []float64
 	tenants     []tenant
-	pulls       int // postings asked for so far
-	moves, told int // postings made or ended so far, and when peers were last told
+	pulls       int    // postings asked for so far
+	news        []news // still to be told among many
+	moves, told int    // postings made or ended so far, and when peers were last told
 	toldAt      float64
 	heardAt     map[int]float64 // when each peer last told
 	watching    bool
@@ -278,6 +280,10 @@
 		}
 		s.heaviest = slices.MaxFunc(s.settled, func(a, b sending) int { return cmp.Compare(a.work, b.work) }).work
 		w.fails, w.aside, w.bad, w.heardAt = 0, 0, 0, now
+		if _, was := w.ill[t.row().Name]; was {
+			delete(w.ill, t.row().Name)
+			s.news = append(s.news, news{w, t.row().Name, true})
+		}
 		s.left, s.leftAt = w, now
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
@@ -289,11 +295,17 @@
 		}
 	case NoConnect:
 		s.failed(now, w, p.at)
+	case TimedOut, Cancelled:
+		// A long wait says that its worker is slow. One that answers others and never this one lost it.
+		if p.begun && now-p.start > 3*t.run() || !p.begun && s.silent(now, p) {
+			s.failing(now, w, t.row().Name, true)
+		}
 	case Reset:
 		s.failed(now, w, now)
 		fallthrough
 	case Erred:
 		w.bad, w.badTill = w.bad+1, now+asideFirst*math.Exp2(float64(min(w.bad, 4)))
+		s.failing(now, w, t.row().Name, true)
 		s.ails(w)
 	}
 	if !how.NeverRan() && how != Done {
@@ -311,6 +323,21 @@
 	}
 }
 
+// failing stands a worker aside for one scheme: what it fails it may fail alone, and settle all others.
+func (s *Scheduler) failing(now float64, w *worker, scheme string, own bool) {
+	v := w.ill[scheme]
+	if v.bad++; own || v.bad > 1 {
+		v.till = now + asideFirst*math.Exp2(float64(min(v.bad, 4)))
+	}
+	if w.ill == nil {
+		w.ill = map[string]ill{}
+	}
+	w.ill[scheme] = v
+	if s.ails(w); own {
+		s.news = append(s.news, news{w, scheme, false})
+	}
+}
+
 // failed stands a worker aside. Where no connection came up for long it doubts what is out: a cut link gives
 // no reset, and that would stay silent. A refusal or reset is an answer: copies then only ate the fleet.
 func (s *Scheduler) failed(now float64, w *worker, since float64) {
@@ -503,7 +530,7 @@
 // posting has not begun.
 func (s *Scheduler) doubted(now float64, f func(w *worker)) {
 	s.sick = slices.DeleteFunc(s.sick, func(w *worker) bool {
-		w.sick = w.here && (w.fails > 0 || w.bad > 0 || now < max(w.aside, w.badTill))
+		w.sick = w.here && (w.fails > 0 || w.bad > 0 || len(w.ill) > 0 || now < max(w.aside, w.badTill))
 		return !w.sick
 	})
 	if !s.terms.Probes {
@@ -684,8 +711,12 @@
 		s.queue(s.holds(w)) > s.spare(now, t) {
 		return false
 	}
-	if w.bad > 1 && t.row().Effect == OnceOnly && now < w.badTill+16*asideFirst {
-		return false // no trial for one that can't go again
+	v := w.ill[t.row().Name]
+	if t.row().Effect == OnceOnly && v.bad > 1 {
+		v.till += 16 * asideFirst // trials with one that can't go again are rare
+	}
+	if v.bad > 0 && now < v.till {
+		return false
 	}
 	return s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
@@ -1134,6 +1165,17 @@
 	}
 	s.told, s.toldAt = s.moves, now
 	var body []byte
+	if s.thin() {
+		for ; len(s.news) > 0 && len(body)+3 <= mostBytes; s.news = s.news[1:] {
+			n := s.news[0]
+			at := slices.IndexFunc(s.terms.Schemes, func(r SchemeRow) bool { return r.Name == n.scheme })
+			if n.ok {
+				at |= settledMark
+			}
+			body = append(binary.BigEndian.AppendUint16(body, uint16(n.w.hash)), byte(at))
+		}
+		return body, true
+	}
 	for _, w := range s.list {
 		if n := len(w.own); n > 0 && len(body)+3 <= mostBytes {
 			body = append(binary.BigEndian.AppendUint16(body, uint16(w.hash)), byte(min(n, 255)))
@@ -1145,9 +1187,16 @@
 // tellAt is when the next message goes out: soon after a change; else now and then, since one may be lost.
 // The more peers there are the more pay for each, so the rarer it is.
 func (s *Scheduler) tellAt() float64 {
-	// Among many a job is over before the next message may go, and all would rank by the same old ones.
-	if !s.terms.Messages || s.terms.Peers <= 1 || s.thin() || s.yields {
+	if !s.terms.Messages || s.terms.Peers <= 1 || s.yields {
+		s.news = s.news[:0]
+		return math.Inf(1)
+	}
+	// Among many a job is over before the next message may go, and all would rank by the same old ones. What is
+	// told there is where a scheme fails: by itself each meets every such worker too seldom to know.
+	if s.thin() && len(s.news) == 0 {
 		return math.Inf(1)
+	} else if s.thin() {
+		return s.toldAt + tellEvery
 	}
 	if s.told != s.moves {
 		return s.toldAt + s.tellGap()
@@ -1190,6 +1239,9 @@
 		at = min(at, s.giveUpAt(s.crowded(now)))
 		for _, w := range s.sick {
 			next(max(w.aside, w.badTill))
+			for _, v := range w.ill {
+				next(v.till)
+			}
 		}
 		fullFor := s.fullFor()
 		i := sort.Search(len(s.fulls), func(i int) bool { return s.fulls[i].at+fullFor > now })
--- a/balance/known.go
+++ b/balance/known.go
@@ -232,6 +232,20 @@
 
 // Heard takes a peer's message: its postings in flight by worker.
 func (s *Scheduler) Heard(now float64, from int, body []byte) {
+	if s.thin() {
+		for ; len(body) >= 3; body = body[3:] {
+			at := int(body[2] &^ settledMark)
+			for _, w := range s.list {
+				if uint16(w.hash) != binary.BigEndian.Uint16(body) || at >= len(s.terms.Schemes) {
+				} else if scheme := s.terms.Schemes[at].Name; body[2]&settledMark == 0 {
+					s.failing(now, w, scheme, false)
+				} else {
+					delete(w.ill, scheme)
+				}
+			}
+		}
+		return
+	}
 	said := map[uint16]int{}
 	for ; len(body) >= 3; body = body[3:] {
 		said[binary.BigEndian.Uint16(body)] = int(body[2])
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -190,6 +190,7 @@
 	aside    float64
 	bad      int // postings that ended badly, in a row, and until when it stands aside for that
 	badTill  float64
+	ill      map[string]ill // the same of single schemes, by name
 	probing  bool
 	probedAt float64
 	heardAt  float64   // when it last began or settled a posting, or answered a probe
@@ -216,6 +217,19 @@
 	since, back float64
 }
 
+// ill is how many postings of one scheme ended badly at a worker, in a row, and until when it stands aside for that.
+type ill struct {
+	bad  int
+	till float64
+}
+
+// news is that a scheme failed at a worker, or settled there again.
+type news struct {
+	w      *worker
+	scheme string
+	ok     bool
+}
+
 // size is what workers that carry the same have in common.
 type size struct {
 	kind   int
