--- a/balance/balance.go
+++ b/balance/balance.go
@@ -228,7 +228,7 @@
 		return
 	}
 	waited := now-p.at > s.prompt(p.w)
-	p.begun, p.start, p.w.heardAt = true, now, now
+	p.begun, p.start, p.w.heardAt, p.w.begunAt = true, now, now, max(p.w.begunAt, p.at)
 	s.unwait(p)
 	if p.t.out > 1 {
 		s.excess = append(s.excess, p.t)
@@ -296,10 +296,7 @@
 	case NoConnect:
 		s.failed(now, w, p.at)
 	case TimedOut, Cancelled:
-		// A long wait says that its worker is slow. One that answers others and never this one lost it.
-		if p.begun && now-p.start > 3*t.run() || !p.begun && s.silent(now, p) {
-			s.failing(now, w, t.row().Name, true)
-		}
+		s.unheard(now, p)
 	case Reset:
 		s.failed(now, w, now)
 		fallthrough
@@ -323,6 +320,16 @@
 	}
 }
 
+// unheard counts a posting as failed that its worker never answers, though it answers others or a probe: a long wait
+// alone says that it is slow.
+func (s *Scheduler) unheard(now float64, p *posting) {
+	if !p.lost && (p.begun && now-p.start > 3*p.t.run() || !p.begun && s.silent(now, p) &&
+		(p.w.begunAt > p.at || p.w.free >= 1 && p.w.probedAt > p.at)) {
+		p.lost = true
+		s.failing(now, p.w, p.t.row().Name, true)
+	}
+}
+
 // failing stands a worker aside for one scheme: what it fails it may fail alone, and settle all others.
 func (s *Scheduler) failing(now float64, w *worker, scheme string, own bool) {
 	v := w.ill[scheme]
@@ -927,6 +934,7 @@
 // NextPosting decides the next posting to make.
 func (s *Scheduler) NextPosting(now float64) (Post, bool) {
 	for _, p := range s.untold() {
+		s.unheard(now, p)
 		if p.t.out == 1 && !p.t.over && !p.t.held && now >= s.tryAt(p) && s.affords(now, p.t) {
 			s.hold(p.t)
 		}
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -193,6 +193,7 @@
 	ill      map[string]ill // the same of single schemes, by name
 	probing  bool
 	probedAt float64
+	begunAt  float64   // when the last one of those that have begun there was posted
 	heardAt  float64   // when it last began or settled a posting, or answered a probe
 	sent     []sending // while still cold
 	rankLoad float64   // at the last ranking
@@ -254,6 +255,7 @@
 	no               int
 	at, start        float64
 	begun, done, off bool
+	lost             bool // its worker was taken to have lost it
 	ran              bool // it ended, and may have run
 }
 
