--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,10 +3,10 @@
 // One Scheduler decides for one scheduler. The host tells it what happened (Arrived, Started, Ended, Gone,
 // ListChanged, Watched, Probed, Heard, Stops: they only update what is known), then pulls decisions, one a
 // call, until none is left (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and calls
-// again at Wake. The types that cross this edge are in terms.go, the inputs that only keep what is known in known.go.
-// The ordinary path is ADUS: see rerank, band,
-// pick. The list is followed as it is told (NextWatch where it has to be asked for). Beside these stand six
-// mechanisms, some in another form among many schedulers (see thin):
+// again at Wake. The types that cross this edge are in terms.go, inputs that only keep what is known in
+// known.go. The ordinary path is ADUS: see rerank, band, pick. The list is followed as it is told (NextWatch
+// where it has to be asked for). Beside these stand six mechanisms, some in another form among many
+// schedulers (see thin):
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
 //  2. Homes: a txn that needs a key is banded among the few workers that keep it.
 //  3. Suspicion: a worker that fails or falls silent stands aside until a cheap trial brings it back.
@@ -114,7 +114,8 @@
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{txns: map[string]*txn{}, byID: map[string]*worker{},
 		born: -1, ledAt: math.Inf(-1), stopAt: math.Inf(1),
-		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{}, none: map[*ranking]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
+		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{},
+		none: map[*ranking]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
 	}
 	s.seeded = ^crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, terms.Seed))
 	s.rankingOf(&SchemeRow{})
@@ -122,8 +123,8 @@
 	return s
 }
 
-// Retune takes other terms. Open txns keep theirs, and what was learnt stays. Who this scheduler is, its peers,
-// zones and kinds, and what workers tell must be as they were.
+// Retune takes other terms. Open txns keep theirs, and what was learnt stays. Who this scheduler is, its
+// peers, zones and kinds, and what workers tell must be as they were.
 func (s *Scheduler) Retune(terms Terms) {
 	old, longest := s.terms, s.longest
 	s.terms, s.tightest, s.richest, s.longest = &terms, math.Inf(1), 0, make([]float64, len(terms.Schemes))
@@ -143,21 +144,6 @@
 	s.stale = true
 }
 
-func (s *Scheduler) chance() uint32 {
-	s.draws++
-	return s.draw(s.draws - 1)
-}
-
-// draw is the chance that belongs to a counter: the checksum of seed and counter, the seed's part made once.
-func (s *Scheduler) draw(count uint32) uint32 {
-	c := s.seeded
-	for range 4 {
-		c = crc32.IEEETable[byte(c)^byte(count)] ^ c>>8
-		count >>= 8
-	}
-	return ^c
-}
-
 // ---- what is known ----
 
 // Watched tells that the list request sent before was answered, or failed.
@@ -263,7 +249,8 @@
 	}
 	t.out--
 	s.report(w, load)
-	// Where all postings are known, one that waited where slots were free was on a connection that fell silent.
+	// Where all postings are known, one that waited where slots were free was on a connection that fell
+	// silent.
 	waited := !p.begun && now-p.at > s.prompt(w) && (!s.knows() || w.known() >= w.most)
 	if how == Full || how == Cancelled && waited {
 		s.full(now, w)
@@ -316,12 +303,19 @@
 			delete(s.txns, ref)
 		}
 	} else if t.out == 0 {
-		s.hold(t)
+		if s.hold(t); !s.affords(now, t) && s.spent(now) && s.mayDecline(t) {
+			// Its client's next try is not beyond any txn's first, and is in time if it comes at once. Held
+			// till the budget has room again it was late, and its client was told to stay away.
+			for i := range t.dueAt {
+				t.dueAt[i] = min(t.dueAt[i], now)
+				s.due[i].add(t.dueAt[i], t)
+			}
+		}
 	}
 }
 
-// unheard counts a posting as failed that its worker never answers, though it answers others or a probe: a long wait
-// alone says that it is slow.
+// unheard counts a posting as failed that its worker never answers, though it answers others or a probe: a
+// long wait alone says that it is slow.
 func (s *Scheduler) unheard(now float64, p *posting) {
 	if !p.lost && (p.begun && now-p.start > 3*p.t.run() || !p.begun && s.silent(now, p) &&
 		(p.w.begunAt > p.at || p.w.free >= 1 && p.w.probedAt > p.at)) {
@@ -493,7 +487,8 @@
 	return min(at, due.next())
 }
 
-// rankingOf is the ranking of the workers that a row is open to. It is made once for all rows that are open alike.
+// rankingOf is the ranking of the workers that a row is open to. It is made once for all rows that are open
+// alike.
 func (s *Scheduler) rankingOf(row *SchemeRow) *ranking {
 	for _, r := range s.ranks {
 		if r.open.Zones == row.Zones && r.open.Kinds == row.Kinds {
@@ -533,8 +528,8 @@
 	return s.waits
 }
 
-// doubted goes through the listed workers that a probe may be for: those that failed lately, and those where a
-// posting has not begun.
+// doubted goes through the listed workers that a probe may be for: those that failed lately, and those where
+// a posting has not begun.
 func (s *Scheduler) doubted(now float64, f func(w *worker)) {
 	s.sick = slices.DeleteFunc(s.sick, func(w *worker) bool {
 		w.sick = w.here && (w.fails > 0 || w.bad > 0 || len(w.ill) > 0 || now < max(w.aside, w.badTill))
@@ -603,13 +598,6 @@
 
 // ---- the exceptions ----
 
-// mixed spreads two checksums: that of both texts in one would rank all workers alike for most keys.
-func mixed(a, b uint32) uint32 {
-	x := (uint64(a)<<32 | uint64(b)) * 0x9e3779b97f4a7c15
-	x = (x ^ x>>32) * 0xd6e8feb86659fd93
-	return uint32(x >> 32)
-}
-
 // pickHome bands a txn that needs a key among its homes, as a bound one is banded among those it may use: a
 // worker that lacks the key holds a slot idle while it fetches, and any that serves it drops another key. All
 // schedulers name the same homes, by hash; where none has room, the next by hash soon keeps the key too.
@@ -634,7 +622,8 @@
 	least(order, n)
 	slices.SortFunc(order[:n], func(x, y entry) int {
 		a, b := x.w, y.w
-		return cmp.Or(cmp.Compare(a.rankLoad, b.rankLoad), cmp.Compare(s.tie(a), s.tie(b)), cmp.Compare(a.place, b.place))
+		return cmp.Or(cmp.Compare(a.rankLoad, b.rankLoad), cmp.Compare(s.tie(a), s.tie(b)),
+			cmp.Compare(a.place, b.place))
 	})
 	band := s.band(n, t.cost)
 	near := append(slices.Clone(order[band:n]), order[:band]...)
@@ -719,10 +708,10 @@
 		return false
 	}
 	v := w.ill[t.row().Name]
-	if t.row().Effect == OnceOnly && v.bad > 1 {
-		v.till += 16 * asideFirst // trials with one that can't go again are rare
+	if t.row().Effect == OnceOnly && max(v.bad, w.bad) > 1 {
+		v.till = max(v.till, w.badTill) + 16*asideFirst // trials with one that can't go again are rare
 	}
-	if v.bad > 0 && now < v.till {
+	if now < v.till {
 		return false
 	}
 	return s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
@@ -995,10 +984,21 @@
 	return Post{Ref: best.Ref, Worker: to.ID, By: s.windowEnd(best)}, true
 }
 
-// affords keeps the budget of further postings, in the window that ends now: at its edge a txn counts no more, and
-// a posting still does. A copy is only a guess, so that it may use half; what has nothing out may use all. What
-// another process of this scheduler may use beside it is left to that one.
+// affords keeps the budget of further postings, in the window that ends now: at its edge a txn counts no
+// more, and a posting still does. A copy is only a guess, so that it may use half; what has nothing out may
+// use all. What another process of this scheduler may use beside it is left to that one.
 func (s *Scheduler) affords(now float64, t *txn) bool {
+	allowed := s.allowance(now)
+	if t.out > 0 {
+		allowed /= 2
+	}
+	return s.terms.BudgetFor <= 0 || len(t.posts) == 0 || float64(len(s.further)+1) <= allowed+1e-9
+}
+
+// spent tells whether half of the allowance is.
+func (s *Scheduler) spent(now float64) bool { return float64(len(s.further)) >= s.allowance(now)/2 }
+
+func (s *Scheduler) allowance(now float64) float64 {
 	terms := s.terms
 	from := now - terms.BudgetFor
 	for len(s.took) > 0 && s.took[0] <= from {
@@ -1007,21 +1007,15 @@
 	for len(s.further) > 0 && s.further[0] < from {
 		s.further = s.further[1:]
 	}
-	if terms.BudgetFor <= 0 || len(t.posts) == 0 {
-		return true
-	}
 	allowed := terms.BudgetRatio * float64(len(s.took))
 	if !s.yields && now >= s.ledAt+terms.BudgetFor {
 		allowed += terms.BudgetFree
 	}
-	if t.out > 0 {
-		allowed /= 2
-	}
-	return float64(len(s.further)+1) <= allowed+1e-9
+	return allowed
 }
 
-// seek notes, where no worker at all takes a txn of this cost now, that none takes a costlier one of those bound
-// alike either: with overload each of thousands held asked each worker in vain.
+// seek notes, where no worker at all takes a txn of this cost now, that none takes a costlier one of those
+// bound alike either: with overload each of thousands held asked each worker in vain.
 func (s *Scheduler) seek(now float64, t *txn) {
 	ranks := s.rankingOf(t.row())
 	if t.Hint > 0 && !ranks.each(func(w *worker) bool { return s.takes(now, w) && s.warm(now, t, w) }) {
@@ -1125,8 +1119,8 @@
 	}
 	crowded := s.crowded(now)
 	for _, p := range s.untold() {
-		// Of two that wait the first stays in its queue and the copy moves on. Left there to run late, they would
-		// make all behind them late too.
+		// Of two that wait the first stays in its queue and the copy moves on. Left there to run late, they
+		// would make all behind them late too.
 		moves := p.t.out > 1 && p.no == len(p.t.posts)-1 && now >= s.tryAt(p)
 		if moves || now >= s.lateAt(p, crowded) {
 			p.off = true
@@ -1199,8 +1193,8 @@
 		s.news = s.news[:0]
 		return math.Inf(1)
 	}
-	// Among many a job is over before the next message may go, and all would rank by the same old ones. What is
-	// told there is where a scheme fails: by itself each meets every such worker too seldom to know.
+	// Among many a job is over before the next message may go, and all would rank by the same old ones. What
+	// is told there is where a scheme fails: by itself each meets every such worker too seldom to know.
 	if s.thin() && len(s.news) == 0 {
 		return math.Inf(1)
 	} else if s.thin() {
--- a/balance/carry.go
+++ b/balance/carry.go
@@ -7,8 +7,8 @@
 	"slices"
 )
 
-// How an open txn passes from one process of this scheduler to another: one gives all that the rules ask of it, the
-// other goes on from there. Nothing is decided here.
+// How an open txn passes from one process of this scheduler to another: one gives all that the rules ask of
+// it, the other goes on from there. Nothing is decided here.
 
 // Carried is an open txn as another process is told of it.
 type Carried struct {
@@ -60,7 +60,8 @@
 			w = &worker{Listed: Listed{ID: x.Worker, State: Removed}, free: -1, fullAt: math.Inf(-1), limit: math.MaxInt}
 			s.byID[x.Worker] = w
 		}
-		p := &posting{t: t, w: w, no: i, at: x.At, start: x.Start, begun: x.Begun, done: x.Done, off: x.Off, ran: x.Ran}
+		p := &posting{t: t, w: w, no: i, at: x.At, start: x.Start, begun: x.Begun, done: x.Done, off: x.Off,
+			ran: x.Ran}
 		t.posts = append(t.posts, p)
 		t.ran = t.ran || p.ran
 		if p.done {
@@ -75,7 +76,8 @@
 		}
 		w.unbegun++
 		t.waits++
-		at, _ := slices.BinarySearchFunc(s.waits, p.at, func(q *posting, x float64) int { return cmp.Compare(q.at, x) })
+		at, _ := slices.BinarySearchFunc(s.waits, p.at,
+			func(q *posting, x float64) int { return cmp.Compare(q.at, x) })
 		s.waits = slices.Insert(s.waits, at, p)
 	}
 	if t.out == 0 {
--- a/balance/carry_test.go
+++ b/balance/carry_test.go
@@ -2,7 +2,8 @@
 
 import "testing"
 
-// A txn that passes to another process keeps the rules it came under, and what was posted for it still counts.
+// A txn that passes to another process keeps the rules it came under, and what was posted for it still
+// counts.
 func TestCarry(t *testing.T) {
 	pass := func(scheme int, how Outcome, end bool) (*Scheduler, Carried) {
 		a := started(plainTerms, 6)
--- a/balance/index.go
+++ b/balance/index.go
@@ -2,14 +2,15 @@
 
 import (
 	"cmp"
+	"hash/crc32"
 	"math"
 	"slices"
 	"sort"
 )
 
-// The structures in which the module keeps in order what it knows. They decide nothing: balance.go says what is
-// asked of them. What they answer is what sorting and scanning all workers and txns would, at the cost of what
-// has changed.
+// The structures in which the module keeps in order what it knows. They decide nothing: balance.go says what
+// is asked of them. What they answer is what sorting and scanning all workers and txns would, at the cost of
+// what has changed.
 
 // ranking keeps workers by load, as it was at the last ranking, those of equal load by tie. Loads are few or
 // change rarely, so workers stand in groups of equal load; a group is put in order, by this ranking's ties,
@@ -39,7 +40,8 @@
 // rowOf is how many workers are sorted together.
 const rowOf = 8
 
-// entry is a worker with what orders it in its group: its tie, and where ties are equal its place in the list.
+// entry is a worker with what orders it in its group: its tie, and where ties are equal its place in the
+// list.
 type entry struct {
 	key uint64
 	w   *worker
@@ -258,3 +260,25 @@
 	}
 	return h[0].at
 }
+
+func (s *Scheduler) chance() uint32 {
+	s.draws++
+	return s.draw(s.draws - 1)
+}
+
+// draw is the chance that belongs to a counter: the checksum of seed and counter, the seed's part made once.
+func (s *Scheduler) draw(count uint32) uint32 {
+	c := s.seeded
+	for range 4 {
+		c = crc32.IEEETable[byte(c)^byte(count)] ^ c>>8
+		count >>= 8
+	}
+	return ^c
+}
+
+// mixed spreads two checksums: that of both texts in one would rank all workers alike for most keys.
+func mixed(a, b uint32) uint32 {
+	x := (uint64(a)<<32 | uint64(b)) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>32) * 0xd6e8feb86659fd93
+	return uint32(x >> 32)
+}
--- a/balance/known.go
+++ b/balance/known.go
@@ -8,8 +8,8 @@
 	"slices"
 )
 
-// What the module knows: the inputs that only update it, and how it is kept so that a decision need not go through
-// all of it. Nothing is decided here.
+// What the module knows: the inputs that only update it, and how it is kept so that a decision need not go
+// through all of it. Nothing is decided here.
 
 // touch marks a worker whose load may have changed, or whether it is ranked.
 func (s *Scheduler) touch(w *worker) {
@@ -28,7 +28,8 @@
 }
 
 func (s *Scheduler) unwait(p *posting) {
-	i, _ := slices.BinarySearchFunc(s.waits, p.at, func(q *posting, at float64) int { return cmp.Compare(q.at, at) })
+	i, _ := slices.BinarySearchFunc(s.waits, p.at,
+		func(q *posting, at float64) int { return cmp.Compare(q.at, at) })
 	for ; i < len(s.waits) && s.waits[i].at == p.at; i++ {
 		if s.waits[i] == p {
 			s.waits = slices.Delete(s.waits, i, i+1)
@@ -116,7 +117,8 @@
 		if w.Start != r.Start {
 			// What was learned of the process before its restart says nothing of this one.
 			*w = worker{here: w.here, own: w.own, unbegun: w.unbegun, sent: w.sent, free: -1, fullAt: math.Inf(-1),
-				limit: math.MaxInt, most: w.most, placed: w.placed, slots: w.slots, rankLoad: w.rankLoad, touched: w.touched, sick: w.sick}
+				limit: math.MaxInt, most: w.most, placed: w.placed, slots: w.slots, rankLoad: w.rankLoad,
+				rankZone: w.rankZone, rankKind: w.rankKind, touched: w.touched, sick: w.sick}
 		}
 		if s.terms.LiveWeight && r.Weight > s.sizes[r.Kind] {
 			s.sizes[r.Kind], all = r.Weight, true
@@ -162,7 +164,8 @@
 	}
 }
 
-// Withdrawn tells that staff took a worker out: it counts as draining, whatever the list says, until Returned.
+// Withdrawn tells that staff took a worker out: it counts as draining, whatever the list says, until
+// Returned.
 func (s *Scheduler) Withdrawn(now float64, id string) {
 	v := s.staffed[id]
 	if v == nil {
@@ -187,8 +190,8 @@
 	}
 }
 
-// staffing is how a worker of the list stands after what staff did with it. One that was put back is cold from
-// then on, as the list may be late with its restart.
+// staffing is how a worker of the list stands after what staff did with it. One that was put back is cold
+// from then on, as the list may be late with its restart.
 func (s *Scheduler) staffing(r Listed) Listed {
 	v := s.staffed[r.ID]
 	if v == nil {
@@ -304,8 +307,8 @@
 	}
 }
 
-// Yields tells that another process of this scheduler may send to cold workers, and speaks to peers, instead of
-// this one: both together have one scheduler's part.
+// Yields tells that another process of this scheduler may send to cold workers, and speaks to peers, instead
+// of this one: both together have one scheduler's part.
 func (s *Scheduler) Yields() { s.coldAt, s.yields = math.Inf(1), true }
 
 // Leads tells that this process may from now on.
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -5,15 +5,15 @@
 	"testing"
 )
 
-// A bound scheme goes only to the workers that it may use, at every posting, also where those are down or full; the
-// bands of its txns are cut among them.
+// A bound scheme goes only to the workers that it may use, at every posting, also where those are down or
+// full; the bands of its txns are cut among them.
 func TestPlacement(t *testing.T) {
 	terms := plainTerms
 	terms.Schemes = append([]SchemeRow{}, plainTerms.Schemes...)
 	terms.Schemes[0].Zones, terms.Schemes[1].Kinds = 2, 1
 	s := New(terms)
-	rows := []Listed{{ID: "a", Zone: 0, Weight: 1}, {ID: "b", Zone: 1, Kind: 1, Weight: 1}, {ID: "c", Zone: 1, Weight: 1},
-		{ID: "d", Zone: -1, Kind: -1, Weight: 1}}
+	rows := []Listed{{ID: "a", Zone: 0, Weight: 1}, {ID: "b", Zone: 1, Kind: 1, Weight: 1},
+		{ID: "c", Zone: 1, Weight: 1}, {ID: "d", Zone: -1, Kind: -1, Weight: 1}}
 	s.ListChanged(0, true, rows)
 	met := map[string]bool{}
 	open := map[string][]string{"0": {"b", "c"}, "1": {"a", "c"}}
@@ -111,3 +111,36 @@
 		t.Error("a process that leads now has to wait for the window")
 	}
 }
+
+// With the budget spent a txn that was turned away is declined at once, without advice to stay away: its
+// client's next try costs nothing of the budget, and is in time. One that may have run, and may not be
+// declined, waits.
+func TestBudgetSpent(t *testing.T) {
+	terms := plainTerms
+	terms.BudgetFor, terms.BudgetFree, terms.MaxStay = 2000, 1, 2000
+	terms.Schemes = append([]SchemeRow{}, plainTerms.Schemes...)
+	terms.Schemes[2].Window = 1e6
+	s := started(terms, 10)
+	s.Arrived(0, Txn{Ref: "spends", Hint: 100, Slots: 1, Left: 20000})
+	mustPost(t, s, 0)
+	s.Ended(1, "spends", 0, TimedOut, false, NoLoad)
+	mustPost(t, s, 1)
+	for ref, scheme := range map[string]int{"full": 1, "ran": 2} {
+		arrive(s, 2, ref, scheme, 100)
+		mustPost(t, s, 2)
+		how := Full
+		if ref == "ran" {
+			how = Erred
+		}
+		s.Ended(3, ref, 0, how, false, NoLoad)
+	}
+	if f, ok := s.NextFinal(3); !ok || f.Ref != "full" || !f.Declined || f.Stay != 0 {
+		t.Errorf("got %+v %v", f, ok)
+	}
+	if f, ok := s.NextFinal(3); ok {
+		t.Errorf("given up too: %+v", f)
+	}
+	if p := mustPost(t, s, 2002); p.Ref != "ran" {
+		t.Errorf("with room in the budget: %+v", p)
+	}
+}
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -65,7 +65,8 @@
 	ColdFor    float64
 	Fall       float64
 	FallTimes  float64
-	// In any time of BudgetFor, postings beyond each txn's first are at most BudgetFree and BudgetRatio a txn taken.
+	// In any time of BudgetFor, postings beyond each txn's first are at most BudgetFree and BudgetRatio a txn
+	// taken.
 	BudgetFor, BudgetFree, BudgetRatio float64 // BudgetFor 0: there is no such rule
 }
 
@@ -212,13 +213,15 @@
 	bears    samples // how many would have run here at the pace of their hints
 }
 
-// staffed is a worker that staff took out: whether it still is, since when, and when it was put back (0: never).
+// staffed is a worker that staff took out: whether it still is, since when, and when it was put back (0:
+// never).
 type staffed struct {
 	out         bool
 	since, back float64
 }
 
-// ill is how many postings of one scheme ended badly at a worker, in a row, and until when it stands aside for that.
+// ill is how many postings of one scheme ended badly at a worker, in a row, and until when it stands aside
+// for that.
 type ill struct {
 	bad  int
 	till float64
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -23,9 +23,9 @@
 	// Connections taken beyond the bound only to be told so: what they bring may have been written already.
 	spareClients = 16
 
-	// How long nothing need come on a connection that has not brought a request whole, and how long that may take.
-	// Usual clients send a request in one go, yet some come over bad links; at the bound on connections those that
-	// say nothing go first in any case.
+	// How long nothing need come on a connection that has not brought a request whole, and how long that may
+	// take. Usual clients send a request in one go, yet some come over bad links; at the bound on connections
+	// those that say nothing go first in any case.
 	requestFor = 2000.0
 	piecesFor  = 10000.0
 	idleFor    = 60000.0
@@ -399,7 +399,8 @@
 	if c == nil || c.conn == nil {
 		return
 	}
-	// One that asks on and reads no answers is cut off. What a stopping scheduler turns away may go to another.
+	// One that asks on and reads no answers is cut off. What a stopping scheduler turns away may go to
+	// another.
 	c.last = c.last || c.t == nil || c.conn.OutboundBuffered() > 0
 	c.last = c.last || c.s.parting(c.s.now()) || c.s.phase == draining && status != 200 && c.s.handover.to == 0
 	more := ""
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -16,9 +16,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// A new version is started while the old one serves. Both are one scheduler to the rules and to the platform's
-// limits, and share the clients' address, a queue each. What they know of each other are locks on a file in
-// $TMPDIR, which the kernel frees with their process, and a second file that says who is out.
+// A new version is started while the old one serves. Both are one scheduler to the rules and to the
+// platform's limits, and share the clients' address, a queue each. What they know of each other are locks on
+// a file in $TMPDIR, which the kernel frees with their process, and a second file that says who is out.
 
 // The bytes that are locked. Each process has one of the last two kinds, by its number.
 const (
@@ -64,8 +64,8 @@
 	*h = handover{s: s, cold: true, whole: true}
 }
 
-// enter makes this process known, and waits till another one has made room. An address whose port is to be any
-// is shared with nobody.
+// enter makes this process known, and waits till another one has made room. An address whose port is to be
+// any is shared with nobody.
 func (h *handover) enter() {
 	if _, port, _ := net.SplitHostPort(h.s.node.Listen); port == "0" {
 		return
@@ -237,10 +237,10 @@
 	}
 }
 
-// pass has new connections, and messages of peers, go to another process's queue: by a program of one line that
-// names a place in the address's group. What waits in this one's queue is still taken. Which place is another's
-// is not told, so one that brings something here is followed by the next; one that is not there leaves the
-// choice to the kernel.
+// pass has new connections, and messages of peers, go to another process's queue: by a program of one line
+// that names a place in the address's group. What waits in this one's queue is still taken. Which place is
+// another's is not told, so one that brings something here is followed by the next; one that is not there
+// leaves the choice to the kernel.
 func (h *handover) pass() {
 	h.place, h.passed = (h.place+1)%uint32(h.others+2), h.s.now()
 	h.steer("tcp", h.s.node.Listen)
@@ -269,8 +269,8 @@
 	}
 }
 
-// knock makes the connection by which this process's loop shows itself. Where the address is shared it may come
-// into another one's queue; anything in this one's will do.
+// knock makes the connection by which this process's loop shows itself. Where the address is shared it may
+// come into another one's queue; anything in this one's will do.
 func (h *handover) knock(addr string) (first net.Conn, err error) {
 	if h.others == 0 {
 		return net.DialTimeout("tcp", addr, time.Second)
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -14,8 +14,9 @@
 	"shalebeam/balance"
 )
 
-// What is open passes from a process that drains to the one that has taken over: one message is one connection of
-// a client, with its txn where it waits for one. Sent, all of it is the other process's; else nothing is.
+// What is open passes from a process that drains to the one that has taken over: one message is one
+// connection of a client, with its txn where it waits for one. Sent, all of it is the other process's; else
+// nothing is.
 
 const (
 	passMost = 200 << 10 // a message; what is larger stays
@@ -50,8 +51,8 @@
 
 // ---- the process that drains ----
 
-// give passes on what can be now. What can't, as a message is half read or written or a connection is being made,
-// is tried again.
+// give passes on what can be now. What can't, as a message is half read or written or a connection is being
+// made, is tried again.
 func (h *handover) give() {
 	if h.to == 0 {
 		return
@@ -119,7 +120,8 @@
 	if err != nil || len(raw) > passMost {
 		return true
 	}
-	if err := unix.Sendmsg(h.to, raw, unix.UnixRights(fds...), nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL); err != nil {
+	err = unix.Sendmsg(h.to, raw, unix.UnixRights(fds...), nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	if err != nil {
 		if err != unix.EAGAIN {
 			h.s.log.Printf("msg=handover state=broken err=%q", err)
 			h.hangUp()
@@ -246,8 +248,8 @@
 	return conns, err
 }
 
-// takeOne makes of a message what it was in the other process. The client's connection comes first to the loop, as
-// an answer may be due at once; until its txn is there nothing is read from it.
+// takeOne makes of a message what it was in the other process. The client's connection comes first to the
+// loop, as an answer may be due at once; until its txn is there nothing is read from it.
 func (h *handover) takeOne(raw []byte, conns []net.Conn) error {
 	var m passed
 	if err := json.Unmarshal(raw, &m); err != nil {
@@ -286,8 +288,8 @@
 	return (<-up).Err
 }
 
-// carry goes on with a txn of another process. Its lanes are still to be brought to the loop, nil where nothing is
-// wanted of them any more.
+// carry goes on with a txn of another process. Its lanes are still to be brought to the loop, nil where
+// nothing is wanted of them any more.
 func (d *drive) carry(c *client, m passed) []*lane {
 	x, now := m.Txn, d.s.now()
 	lanes := make([]*lane, len(x.Posts))
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -114,7 +114,8 @@
 		addrs = append(addrs, "tcp://"+s.node.Mgmt)
 	}
 	// SO_REUSEPORT makes gnet accept on the loop itself, without a second one for that. It also lets another
-	// program share the address unnoticed, so that is tried first: but with a process of this scheduler it is meant.
+	// program share the address unnoticed, so that is tried first: but with a process of this scheduler it is
+	// meant.
 	if s.handover.others > 0 {
 	} else if l, err := net.Listen("tcp", s.node.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -225,8 +226,9 @@
 	}
 }
 
-// Reload takes a new configuration, from any goroutine: the settings and discovery's address, all or nothing of
-// it. Open txns keep the rules they came under; what waits for a restart is logged by its key and stays as it was.
+// Reload takes a new configuration, from any goroutine: the settings and discovery's address, all or nothing
+// of it. Open txns keep the rules they came under; what waits for a restart is logged by its key and stays as
+// it was.
 func (s *Scheduler) Reload(n *Node) {
 	s.onLoop(func() {
 		fresh, kept, err := s.node.retuned(n)
@@ -243,10 +245,11 @@
 }
 
 // parting tells whether clients' connections end with their next answer: in the last third of a drain. Till
-// then those that clients have serve them as ever, since the other schedulers may be down too, as in a release.
-// Where another process has taken over they part at once, unless they pass to it.
+// then those that clients have serve them as ever, since the other schedulers may be down too, as in a
+// release. Where another process has taken over they part at once, unless they pass to it.
 func (s *Scheduler) parting(now float64) bool {
-	return s.phase == draining && s.handover.to == 0 && (s.handover.heir || now > s.drainBy-(s.drainBy-s.drained)/3)
+	return s.phase == draining && s.handover.to == 0 &&
+		(s.handover.heir || now > s.drainBy-(s.drainBy-s.drained)/3)
 }
 
 // leaving tells whether idle ones are closed. A client may be about to use one, so that comes late.
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -240,11 +240,12 @@
 }
 
 func (o *pool) post(p *posting, id string) {
-	// A kept connection may be closing at the other end. A reset then says nothing of whether the posting ran,
-	// and for one that must not run twice that is the end.
+	// A kept connection may be closing at the other end. A reset then says nothing of whether the posting
+	// ran, and for one that must not run twice that is the end.
 	l := o.take(id, p.t.ask.row.Effect == balance.OnceOnly)
 	if l == nil {
-		// No connection can be had, so none was made: the module takes it for a worker to leave alone for a while.
+		// No connection can be had, so none was made: the module takes it for a worker to leave alone for a
+		// while.
 		o.s.drive.over(p, balance.NoConnect, balance.NoLoad, "")
 		return
 	}
@@ -260,7 +261,8 @@
 		o.s.drive.mod.Probed(o.s.now(), id, balance.NoConnect, balance.NoLoad)
 		return
 	}
-	// A probe finds out whether a worker answers at all: twice the time for a connection tells that it does not.
+	// A probe finds out whether a worker answers at all: twice the time for a connection tells that it does
+	// not.
 	l.probing, l.until = true, o.s.now()+2*o.s.node.told.Dial
 	if l.state == idle {
 		l.send()
@@ -276,8 +278,8 @@
 	}
 	l.s.pool.dials--
 	l.conn = c
-	// Meanwhile the worker began to drain or left, or the window in which the txn may go again is over, or it was
-	// answered or its client left: where nothing may be called off the module does not say so.
+	// Meanwhile the worker began to drain or left, or the window in which the txn may go again is over, or it
+	// was answered or its client left: where nothing may be called off the module does not say so.
 	if l.p != nil && (!l.to.open() || l.p.t.over || l.s.now() > l.p.by) {
 		l.end(balance.NeverSent)
 	}
@@ -370,8 +372,8 @@
 func (l *lane) closed(c gnet.Conn, _ error) {
 	short := l.writing || c.OutboundBuffered() > 0
 	if short {
-		// gnet writes what it still holds after this call, and a posting that never went out whole must not be
-		// made whole by that.
+		// gnet writes what it still holds after this call, and a posting that never went out whole must not
+		// be made whole by that.
 		_ = unix.Shutdown(c.Fd(), unix.SHUT_RDWR)
 	}
 	l.conn = nil
--- a/startup/startup.go
+++ b/startup/startup.go
@@ -117,7 +117,8 @@
 	return t, nil
 }
 
-// Retuned is t with all of o that may change while a scheduler runs, and the keys of what differs and may not.
+// Retuned is t with all of o that may change while a scheduler runs, and the keys of what differs and may
+// not.
 func (t Told) Retuned(o Told) (out Told, kept []string) {
 	a, b := &t.Terms, &o.Terms
 	for _, p := range []struct {
@@ -125,7 +126,8 @@
 		same bool
 	}{{"my_number", a.Me == b.Me}, {"peers_total", a.Peers == b.Peers}, {"zone", a.Zone == b.Zone},
 		{"zones", slices.Equal(t.Zones, o.Zones)}, {"kinds", slices.Equal(t.Kinds, o.Kinds)},
-		{"weights", a.LiveWeight == b.LiveWeight}, {"domain", a.TellsStart == b.TellsStart && t.FreeSlots == o.FreeSlots},
+		{"weights", a.LiveWeight == b.LiveWeight},
+		{"domain", a.TellsStart == b.TellsStart && t.FreeSlots == o.FreeSlots},
 		{"membership_mode", a.MustAsk == b.MustAsk}, {"report", t.Reports == o.Reports},
 		{"policy_limits.peers", a.Messages == b.Messages}} {
 		if !p.same {
@@ -134,14 +136,15 @@
 	}
 	out = o
 	c := &out.Terms
-	c.Seed, c.Me, c.Peers, c.Zone, c.LiveWeight, c.TellsStart = a.Seed, a.Me, a.Peers, a.Zone, a.LiveWeight, a.TellsStart
+	c.Seed, c.Me, c.Peers, c.Zone = a.Seed, a.Me, a.Peers, a.Zone
+	c.LiveWeight, c.TellsStart = a.LiveWeight, a.TellsStart
 	c.MustAsk, c.Messages = a.MustAsk, a.Messages
 	out.Zones, out.Kinds, out.Reports, out.FreeSlots = t.Zones, t.Kinds, t.Reports, t.FreeSlots
 	return out, kept
 }
 
-// Lacks names a key that one object of JSON has and another lacks, "" where there is none. Of the rows of an array of
-// objects each has to have what all rows had.
+// Lacks names a key that one object of JSON has and another lacks, "" where there is none. Of the rows of an
+// array of objects each has to have what all rows had.
 func Lacks(old, raw json.RawMessage) string {
 	var a, b any
 	if json.Unmarshal(old, &a) != nil || json.Unmarshal(raw, &b) != nil {
@@ -218,7 +221,8 @@
 		t.MaxStay = ms(f.Limits.Stay)
 	}
 	for i, c := range f.Schemes {
-		row := balance.SchemeRow{Name: c.Name, Window: ms(c.Window), SLA: ms(c.SLA), Expiry: ms(c.Expiry), Gain: c.Gain,
+		row := balance.SchemeRow{Name: c.Name, Window: ms(c.Window), SLA: ms(c.SLA), Expiry: ms(c.Expiry),
+			Gain:     c.Gain,
 			LateGain: c.LateGain}
 		// An effect that is not known is taken for the strictest.
 		row.Effect = balance.OnceOnly
