--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,6 +44,7 @@
 	warmEarly     = 2.0    // among many: a worker is taken to be warm so many times sooner than at the latest
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
+	farPart       = 50     // of a txn's work that the way to other zones may take, and is no matter
 	settledMark   = 0x80   // in an entry of a scheme that failed: it has settled since
 )
 
@@ -95,6 +96,7 @@
 	carried     map[size]float64
 	none        map[*ranking]float64 // the least cost that no worker takes at this decision
 	salt        uint32               // the first draw of the last ranking
+	near, far   float64              // the way to workers of the own zone and of others
 	delays      samples              // times from posting to start
 	tightest    float64              // SLA time of any scheme
 	richest     float64              // the most gain that a txn of any scheme has
@@ -229,6 +231,20 @@
 	}
 }
 
+// trip measures how long the way to a worker and back is: the least that one took, and slowly more again where
+// all take more. Waits and pauses only add to it.
+func (s *Scheduler) trip(now float64, p *posting) {
+	way := &s.far
+	if p.w.Zone == s.terms.Zone {
+		way = &s.near
+	}
+	if took := now - p.at; *way == 0 || took < *way {
+		*way = took
+	} else {
+		*way += (took - *way) / 100
+	}
+}
+
 // Ended tells how a posting ended, and whether its txn is over.
 func (s *Scheduler) Ended(now float64, ref string, no int, how Outcome, closed bool, load Load) {
 	p := s.posting(ref, no)
@@ -255,6 +271,9 @@
 	if how == Full || how == Cancelled && waited {
 		s.full(now, w)
 	}
+	if how == Full {
+		s.trip(now, p)
+	}
 	switch how {
 	case Done:
 		s.since++
@@ -578,7 +597,9 @@
 	}
 	n := ranks.len()
 	band := s.band(n, t.cost)
-	anywhere := !s.thin() || len(t.posts) == 0 // else own zone first: each crossing costs
+	// Own zone first where each crossing costs: again and again as one is tried here and there, or much of its time.
+	anywhere := !s.thin() || len(t.posts) == 0 && (s.listed() || s.near == 0 ||
+		s.far-s.near < s.median()/farPart)
 	var second *worker
 	for i := range n {
 		if second != nil && i >= ranksSeen {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -908,3 +908,42 @@
 		t.Error(err)
 	}
 }
+
+// Among many a first posting stays in its own zone where the way to others takes much of a txn's time, as postings
+// that were turned away tell; where that is little it goes by rank.
+func TestOwnZoneFirstWhereCrossingIsLong(t *testing.T) {
+	for far, own := range map[float64]bool{1: false, 40: true} {
+		terms := plainTerms
+		terms.Peers = 40
+		s := New(terms)
+		var rows []Listed
+		for i := range 12 {
+			rows = append(rows, Listed{ID: fmt.Sprint("w", i), Zone: i % 3, Weight: 1})
+		}
+		s.ListChanged(0, true, rows)
+		now, crossed := 0.0, 0
+		for i := range 200 {
+			now += 1000
+			ref := fmt.Sprint(i)
+			arrive(s, now, ref, 0, 200)
+			p := mustPost(t, s, now)
+			zone := s.byID[p.Worker].Zone
+			if took := 1.0; i%2 == 0 { // turned away, after its way there and back
+				if zone != 0 {
+					took = far
+				}
+				s.Ended(now+took, ref, 0, Full, false, NoLoad)
+				s.Gone(now+took, ref)
+				continue
+			}
+			s.Started(now+1, ref, 0)
+			s.Ended(now+200, ref, 0, Done, true, NoLoad)
+			if i > 100 && zone != 0 {
+				crossed++
+			}
+		}
+		if own != (crossed == 0) {
+			t.Errorf("with %g ms to other zones %d of 50 crossed", far, crossed)
+		}
+	}
+}
