The lab makes one staff call at a time to each scheduler

Cause of the drains: a call out whose yes came late was noted behind the call back that had undone it.

--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -76,7 +76,8 @@
 	listed, killed bool
 	starts         int
 	lives          atomic.Int32
-	most           int // the most memory seen, in kB
+	staffing       sync.Mutex // calls at its second address
+	most           int        // the most memory seen, in kB
 	client         *http.Client
 }
 
@@ -183,6 +184,9 @@
 	if out {
 		call = "down"
 	}
+	// One after the other: a yes that came late would be noted behind the call back that undid it.
+	n.staffing.Lock()
+	defer n.staffing.Unlock()
 	for n.w.ctx.Err() == nil && n.w.isOut(worker) == out {
 		if !out {
 			n.w.note(func(at float64) { n.w.audit.Staffed(at, n.name(), worker, false) })
