--- a/balance/balance.go
+++ b/balance/balance.go
@@ -231,20 +231,6 @@
 	}
 }
 
-// trip measures how long the way to a worker and back is: the least that one took, and slowly more again where
-// all take more. Waits and pauses only add to it.
-func (s *Scheduler) trip(now float64, p *posting) {
-	way := &s.far
-	if p.w.Zone == s.terms.Zone {
-		way = &s.near
-	}
-	if took := now - p.at; *way == 0 || took < *way {
-		*way = took
-	} else {
-		*way += (took - *way) / 100
-	}
-}
-
 // Ended tells how a posting ended, and whether its txn is over.
 func (s *Scheduler) Ended(now float64, ref string, no int, how Outcome, closed bool, load Load) {
 	p := s.posting(ref, no)
@@ -258,6 +244,7 @@
 	p.done = true
 	s.unwait(p)
 	s.moves++
+	w.usedAt = now
 	w.own = slices.DeleteFunc(w.own, func(q *posting) bool { return q == p })
 	s.touch(w)
 	if !w.here && len(w.own) == 0 && s.byID[w.ID] == w {
@@ -597,24 +584,24 @@
 	}
 	n := ranks.len()
 	band := s.band(n, t.cost)
-	// Own zone first where each crossing costs: again and again as one is tried here and there, or much of its time.
+	// Own zone first where each crossing costs: a txn tried here and there each time, others much of their time.
 	anywhere := !s.thin() || len(t.posts) == 0 && (s.listed() || s.near == 0 ||
 		s.far-s.near < s.median()/farPart)
-	var second *worker
-	for i := range n {
-		if second != nil && i >= ranksSeen {
-			break
-		}
-		w := ranks.at((band + i) % n)
-		best := s.sure(w) && (anywhere || w.Zone == s.terms.Zone)
-		if (best || second == nil) && s.fits(now, t, w) {
-			if best {
-				return w
+	var best *worker
+	most := -1
+	for i := 0; i < n && (best == nil || i < ranksSeen) && most < 2; i++ {
+		w, value := ranks.at((band+i)%n), 0
+		if s.sure(w) && (anywhere || w.Zone == s.terms.Zone) {
+			value = 1 // and a connection to one used lately is still there
+			if !s.listed() || s.terms.NewFee == 0 || now-w.usedAt < s.terms.Idle/2 {
+				value = 2
 			}
-			second = w
+		}
+		if value > most && s.fits(now, t, w) {
+			best, most = w, value
 		}
 	}
-	return second
+	return best
 }
 
 // ---- the exceptions ----
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -947,3 +947,31 @@
 		}
 	}
 }
+
+// Where the list tells loads, and each new connection costs, one near the rank that was used lately comes first.
+func TestKeptConnectionFirst(t *testing.T) {
+	for fee, kept := range map[float64]bool{0: false, 0.08: true} {
+		terms := plainTerms
+		terms.Peers, terms.LiveWeight, terms.Idle, terms.NewFee = 40, true, 10000, fee
+		s := New(terms)
+		var rows []Listed
+		for i := range 12 {
+			rows = append(rows, Listed{ID: fmt.Sprint("w", i), Weight: 1})
+		}
+		s.ListChanged(0, true, rows)
+		used := map[string]bool{}
+		for i := range 200 {
+			now, ref := float64(i)*1500, fmt.Sprint(i)
+			arrive(s, now, ref, 0, 200)
+			p := mustPost(t, s, now)
+			s.Started(now+1, ref, 0)
+			s.Ended(now+200, ref, 0, Done, true, NoLoad)
+			if i > 150 {
+				used[p.Worker] = true
+			}
+		}
+		if kept != (len(used) < 3) {
+			t.Errorf("with a fee of %g %d workers were in use", fee, len(used))
+		}
+	}
+}
--- a/balance/known.go
+++ b/balance/known.go
@@ -326,3 +326,17 @@
 		delete(s.txns, t.Ref)
 	}
 }
+
+// trip measures how long the way to a worker and back is: the least that one took, and slowly more again where
+// all take more. Waits and pauses only add to it.
+func (s *Scheduler) trip(now float64, p *posting) {
+	way := &s.far
+	if p.w.Zone == s.terms.Zone {
+		way = &s.near
+	}
+	if took := now - p.at; *way == 0 || took < *way {
+		*way = took
+	} else {
+		*way += (took - *way) / 100
+	}
+}
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -65,6 +65,8 @@
 	ColdFor    float64
 	Fall       float64
 	FallTimes  float64
+	NewFee     float64 // what a new connection for each txn costs
+	Idle       float64 // a worker closes connections that stood idle for so long
 	// In any time of BudgetFor, postings beyond each txn's first are at most BudgetFree and BudgetRatio a txn
 	// taken.
 	BudgetFor, BudgetFree, BudgetRatio float64 // BudgetFor 0: there is no such rule
@@ -195,6 +197,7 @@
 	probing  bool
 	probedAt float64
 	begunAt  float64   // when the last one of those that have begun there was posted
+	usedAt   float64   // when an own posting last ended there
 	heardAt  float64   // when it last began or settled a posting, or answered a probe
 	sent     []sending // while still cold
 	rankLoad float64   // at the last ranking
