A reload with other zones or kinds is refused where schemes are bound to some

Seen on reading: bounds are places in the new file's lists, and the lists themselves wait for a restart. Change: such a file is refused by key.

--- a/scheduler/node.go
+++ b/scheduler/node.go
@@ -91,9 +91,9 @@
 	}
 	c := *n
 	c.Discovery, c.raw = o.Discovery, o.raw
-	told, more := n.told.Retuned(o.told)
+	told, more, err := n.told.Retuned(o.told)
 	c.told = told
-	return &c, append(kept, more...), nil
+	return &c, append(kept, more...), err
 }
 
 func (n *Node) check() error {
--- a/startup/startup.go
+++ b/startup/startup.go
@@ -122,7 +122,7 @@
 
 // Retuned is t with all of o that may change while a scheduler runs, and the keys of what differs and may
 // not.
-func (t Told) Retuned(o Told) (out Told, kept []string) {
+func (t Told) Retuned(o Told) (out Told, kept []string, err error) {
 	a, b := &t.Terms, &o.Terms
 	for _, p := range []struct {
 		key  string
@@ -137,13 +137,20 @@
 			kept = append(kept, p.key)
 		}
 	}
+	// A scheme bound to places of other lists would be bound to other workers.
+	bound := func(r balance.SchemeRow) bool { return r.Zones != 0 || r.Kinds != 0 }
+	for _, key := range kept {
+		if (key == "zones" || key == "kinds") && slices.ContainsFunc(b.Schemes, bound) {
+			return t, nil, fmt.Errorf("settings: %s differ, and schemes are bound to some: that needs a restart", key)
+		}
+	}
 	out = o
 	c := &out.Terms
 	c.Seed, c.Me, c.Peers, c.Zone = a.Seed, a.Me, a.Peers, a.Zone
 	c.LiveWeight, c.TellsStart = a.LiveWeight, a.TellsStart
 	c.MustAsk, c.Messages = a.MustAsk, a.Messages
 	out.Zones, out.Kinds, out.Reports, out.FreeSlots = t.Zones, t.Kinds, t.Reports, t.FreeSlots
-	return out, kept
+	return out, kept, nil
 }
 
 // Lacks names a key that one object of JSON has and another lacks, "" where there is none. Of the rows of an
--- a/startup/startup_test.go
+++ b/startup/startup_test.go
@@ -78,7 +78,10 @@
 	old := told(`{"my_number":1,"peers_total":2,"zones":["a"],"schemes":[{"name":"s","expiry":1000}]}`)
 	fresh := told(`{"my_number":0,"peers_total":2,"zones":["b"],"tick":3000,"policy_limits":{"max_postings":2},
 "schemes":[{"name":"s","expiry":2000},{"name":"t","expiry":2000}]}`)
-	got, kept := old.Retuned(fresh)
+	got, kept, err := old.Retuned(fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
 	if len(kept) != 2 || kept[0] != "my_number" || kept[1] != "zones" {
 		t.Errorf("kept: %v", kept)
 	}
@@ -86,8 +89,12 @@
 		len(got.Terms.Schemes) != 2 || got.Schemes[1] != "t" || got.Terms.Schemes[0].Expiry != 2 {
 		t.Errorf("got: %+v", got)
 	}
-	if _, kept := old.Retuned(old); len(kept) != 0 {
-		t.Errorf("kept of the same: %v", kept)
+	if _, kept, err := old.Retuned(old); len(kept) != 0 || err != nil {
+		t.Errorf("kept of the same: %v %v", kept, err)
+	}
+	bound := told(`{"my_number":1,"peers_total":2,"zones":["b","a"],"schemes":[{"name":"s","expiry":1000,"zones_only":["a"]}]}`)
+	if _, _, err := old.Retuned(bound); err == nil || !strings.Contains(err.Error(), "zones") {
+		t.Errorf("bound to places of another list: %v", err)
 	}
 }
 
