--- a/cmd/shalebeam/upgrade_test.go
+++ b/cmd/shalebeam/upgrade_test.go
@@ -403,3 +403,52 @@
 		t.Errorf("kept: %s %v", raw, err)
 	}
 }
+
+// A third process starts beside the two, one fails its configuration, and those before it end in any order: the
+// service goes on, each end leaves room to the others, and the last one has all of it.
+func TestThreeProcesses(t *testing.T) {
+	t.Parallel()
+	h := newHouse(t)
+	a := h.start()
+	h.load(6)
+	bad := program("serve", "--config", filepath.Join(h.tmp, "none.json"))
+	bad.Env = append(bad.Env, "TMPDIR="+h.tmp)
+	if err := bad.Run(); err == nil {
+		t.Error("a process without a configuration serves")
+	}
+	b, c := h.start(), h.start()
+	if opsCall(t, c.mgmt, put("/ops/workers/down", "w2")) != 200 {
+		t.Error("no yes")
+	}
+	h.out.Store("w2", time.Now())
+	goesOn := func(what string) {
+		t.Helper()
+		before := h.answered.Load()
+		for end := time.Now().Add(patience); h.answered.Load() < before+30; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: the service does not go on", what)
+			}
+		}
+	}
+	goesOn("three of them")
+	b.cmd.Process.Kill()
+	within(t, b.exit, "its end")
+	goesOn("the second killed")
+	a.cmd.Process.Signal(syscall.SIGTERM)
+	if err := within(t, a.exit, "its end"); err != nil {
+		t.Error(err)
+	}
+	goesOn("the first stopped")
+	close(h.done)
+	h.busy.Wait()
+	if h.wrong.Load() > 0 {
+		t.Errorf("%d postings to a worker that is out", h.wrong.Load())
+	}
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	if err := within(t, c.exit, "its end"); err != nil {
+		t.Error(err)
+	}
+	if !strings.Contains(h.log.String(), "state=company others=2") {
+		t.Error("three never knew of each other")
+	}
+}
