--- a/balance/balance.go
+++ b/balance/balance.go
@@ -295,7 +295,7 @@
 		fallthrough
 	case Erred:
 		w.bad, w.badTill = w.bad+1, now+asideFirst*math.Exp2(float64(min(w.bad, 4)))
-		s.failing(now, w, t.row().Name, true)
+		s.failing(now, w, t.row().Name, true, how == Erred)
 		s.ails(w)
 	}
 	if !how.NeverRan() && how != Done {
@@ -326,13 +326,14 @@
 	if !p.lost && (p.begun && now-p.start > 3*p.t.run() || !p.begun && s.silent(now, p) &&
 		(p.w.begunAt > p.at || p.w.free >= 1 && p.w.probedAt > p.at)) {
 		p.lost = true
-		s.failing(now, p.w, p.t.row().Name, true)
+		s.failing(now, p.w, p.t.row().Name, true, true)
 	}
 }
 
 // failing stands a worker aside for one scheme: what it fails it may fail alone, and settle all others.
-func (s *Scheduler) failing(now float64, w *worker, scheme string, own bool) {
+func (s *Scheduler) failing(now float64, w *worker, scheme string, own, tell bool) {
 	v := w.ill[scheme]
+	tell = tell && now >= v.till // what was still out there when it went aside is no news
 	if v.bad++; own || v.bad > 1 {
 		v.till = now + asideFirst*math.Exp2(float64(min(v.bad, 4)))
 	}
@@ -340,7 +341,7 @@
 		w.ill = map[string]ill{}
 	}
 	w.ill[scheme] = v
-	if s.ails(w); own {
+	if s.ails(w); tell {
 		s.news = append(s.news, news{w, scheme, false})
 	}
 }
@@ -1206,7 +1207,7 @@
 	if s.thin() && len(s.news) == 0 {
 		return math.Inf(1)
 	} else if s.thin() {
-		return s.toldAt + tellEvery
+		return s.toldAt + 8*tellEvery
 	}
 	if s.told != s.moves {
 		return s.toldAt + s.tellGap()
--- a/balance/known.go
+++ b/balance/known.go
@@ -241,7 +241,7 @@
 			for _, w := range s.list {
 				if uint16(w.hash) != binary.BigEndian.Uint16(body) || at >= len(s.terms.Schemes) {
 				} else if scheme := s.terms.Schemes[at].Name; body[2]&settledMark == 0 {
-					s.failing(now, w, scheme, false)
+					s.failing(now, w, scheme, false, false)
 				} else {
 					delete(w.ill, scheme)
 				}
