--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,6 +44,7 @@
 	warmEarly     = 2.0    // among many: a worker is taken to be warm so many times sooner than at the latest
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
+	farPart       = 50     // of a txn's work that the way to other zones may take, and is no matter
 	settledMark   = 0x80   // in an entry of a scheme that failed: it has settled since
 )
 
@@ -95,6 +96,7 @@
 	carried     map[size]float64
 	none        map[*ranking]float64 // the least cost that no worker takes at this decision
 	salt        uint32               // the first draw of the last ranking
+	near, far   float64              // the way to workers of the own zone and of others
 	delays      samples              // times from posting to start
 	tightest    float64              // SLA time of any scheme
 	richest     float64              // the most gain that a txn of any scheme has
@@ -242,6 +244,7 @@
 	p.done = true
 	s.unwait(p)
 	s.moves++
+	w.usedAt = now
 	w.own = slices.DeleteFunc(w.own, func(q *posting) bool { return q == p })
 	s.touch(w)
 	if !w.here && len(w.own) == 0 && s.byID[w.ID] == w {
@@ -255,6 +258,9 @@
 	if how == Full || how == Cancelled && waited {
 		s.full(now, w)
 	}
+	if how == Full {
+		s.trip(now, p)
+	}
 	switch how {
 	case Done:
 		s.since++
@@ -578,22 +584,24 @@
 	}
 	n := ranks.len()
 	band := s.band(n, t.cost)
-	anywhere := !s.thin() || len(t.posts) == 0 // else own zone first: each crossing costs
-	var second *worker
-	for i := range n {
-		if second != nil && i >= ranksSeen {
-			break
-		}
-		w := ranks.at((band + i) % n)
-		best := s.sure(w) && (anywhere || w.Zone == s.terms.Zone)
-		if (best || second == nil) && s.fits(now, t, w) {
-			if best {
-				return w
+	// Own zone first where each crossing costs: a txn tried here and there each time, others much of their time.
+	anywhere := !s.thin() || len(t.posts) == 0 && (s.listed() || s.near == 0 ||
+		s.far-s.near < s.median()/farPart)
+	var best *worker
+	most := -1
+	for i := 0; i < n && (best == nil || i < ranksSeen) && most < 2; i++ {
+		w, value := ranks.at((band+i)%n), 0
+		if s.sure(w) && (anywhere || w.Zone == s.terms.Zone) {
+			value = 1 // and a connection to one used lately is still there
+			if !s.listed() || s.terms.NewFee == 0 || now-w.usedAt < s.terms.Idle/2 {
+				value = 2
 			}
-			second = w
+		}
+		if value > most && s.fits(now, t, w) {
+			best, most = w, value
 		}
 	}
-	return second
+	return best
 }
 
 // ---- the exceptions ----
