What nobody is told of is not kept: news of failures grew without end with few schedulers

Seen on reading: among few, or where messages are not allowed, failures were noted to be told and never were, a few words each for as long as the program runs. Change: learn keeps them only where they are told, and as many as a message holds. Test: 50 failures with one scheduler leave nothing; and what two told failures and a settling do.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -275,7 +275,7 @@
 		w.fails, w.aside, w.bad, w.heardAt = 0, 0, 0, now
 		if _, was := w.ill[t.row().Name]; was {
 			delete(w.ill, t.row().Name)
-			s.news = append(s.news, news{w, t.row().Name, true})
+			s.learn(news{w, t.row().Name, true})
 		}
 		s.left, s.leftAt = w, now
 		if p.begun && t.Hint > 0 {
@@ -342,7 +342,7 @@
 	}
 	w.ill[scheme] = v
 	if s.ails(w); tell {
-		s.news = append(s.news, news{w, scheme, false})
+		s.learn(news{w, scheme, false})
 	}
 }
 
@@ -1199,7 +1199,6 @@
 // The more peers there are the more pay for each, so the rarer it is.
 func (s *Scheduler) tellAt() float64 {
 	if !s.terms.Messages || s.terms.Peers <= 1 || s.yields {
-		s.news = s.news[:0]
 		return math.Inf(1)
 	}
 	// Among many a job is over before the next message may go, and all would rank by the same old ones. What
--- a/balance/known.go
+++ b/balance/known.go
@@ -340,3 +340,11 @@
 		*way += (took - *way) / 100
 	}
 }
+
+// learn keeps what is to be told among many. Where nothing is told it is dropped, and of more than a message holds
+// the oldest: it would only grow.
+func (s *Scheduler) learn(n news) {
+	if s.thin() && s.terms.Messages && !s.yields {
+		s.news = append(s.news, n)[max(0, len(s.news)+1-mostBytes/3):]
+	}
+}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -144,3 +144,56 @@
 		t.Errorf("with room in the budget: %+v", p)
 	}
 }
+
+// Among many, two failures of a scheme in a row that peers tell keep it from that worker, and nothing else; a settling
+// there ends it. What can't be told is not kept.
+func TestFailuresByScheme(t *testing.T) {
+	terms := plainTerms
+	terms.Peers, terms.Messages = 40, true
+	terms.Schemes = append([]SchemeRow{}, plainTerms.Schemes...)
+	for i := range terms.Schemes {
+		terms.Schemes[i].Name = fmt.Sprint("s", i)
+	}
+	a, b := started(terms, 2), started(terms, 2)
+	fail := func(s *Scheduler, now float64, ref string) string {
+		arrive(s, now, ref, 1, 100)
+		p := mustPost(t, s, now)
+		s.Started(now+1, ref, 0)
+		s.Ended(now+2, ref, 0, Erred, false, NoLoad)
+		s.NextFinal(now + 2)
+		return p.Worker
+	}
+	at := fail(a, 1000, "x")
+	body, ok := a.NextMessage(2000)
+	if !ok || len(body) != 3 {
+		t.Fatalf("told %v %v", body, ok)
+	}
+	if _, again := a.NextMessage(9000); again {
+		t.Error("there was nothing more to tell")
+	}
+	goes := func(scheme int, now float64) bool {
+		tx := &txn{Txn: Txn{Ref: "t", Scheme: scheme, Hint: 100, Slots: 1}, terms: b.terms, until: now + 9000, due: now + 9000}
+		b.pulls++
+		return b.fits(now, tx, b.byID[at])
+	}
+	b.rerank(2000)
+	if b.Heard(2001, 3, body); !goes(1, 2002) {
+		t.Error("one failure told is no reason")
+	}
+	if b.Heard(2003, 4, body); goes(1, 2004) || !goes(0, 2004) {
+		t.Error("after two that scheme alone should keep away")
+	}
+	body[2] |= settledMark
+	if b.Heard(2005, 4, body); !goes(1, 2006) {
+		t.Error("it settled there since")
+	}
+	few := plainTerms
+	few.Messages = true
+	c := started(few, 2)
+	for i := range 50 {
+		fail(c, float64(10000*i), fmt.Sprint(i))
+	}
+	if len(c.news) != 0 {
+		t.Errorf("%d failures kept that nobody is told of", len(c.news))
+	}
+}
