--- a/balance/balance.go
+++ b/balance/balance.go
@@ -849,6 +849,11 @@
 				slots = max(slots, float64(o.most)*min(o.pace.at(0.5, 1), 1))
 			}
 		}
+		if s.wide() > 1 {
+			// The parts of a wide turn add up to twice its budget, and two turns meet in a window: what is left
+			// for that, and for rough hints, is the less the sooner a worker falls.
+			slots = min(slots, max(s.terms.FallTimes/2, 1))
+		}
 		s.carried[like] = slots
 	}
 	return s.carried[like]
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -197,3 +197,20 @@
 		t.Errorf("%d failures kept that nobody is told of", len(c.news))
 	}
 }
+
+// What wide turns send to a cold worker leaves room for two turns in one window and for rough hints: the less a worker
+// bears beyond what it can do, the less is reckoned of what it was seen to carry.
+func TestWideTurnsByHowSoonWorkersFall(t *testing.T) {
+	for times, most := range map[float64]float64{1.5: 1, 4: 2} {
+		terms := plainTerms
+		terms.Peers, terms.FallTimes = 30, times
+		s := started(terms, 21)
+		for _, w := range s.list {
+			w.most = 8
+		}
+		s.rerank(1)
+		if got := s.carries(s.list[0]); s.wide() <= 1 || got != most {
+			t.Errorf("falling at %g times it is reckoned to carry %g, want %g", times, got, most)
+		}
+	}
+}
