--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -536,7 +536,7 @@
 		return r
 	})})
 	s.reload(good)
-	s.cmd.Process.Signal(syscall.SIGHUP) // two together are no harm
+	s.cmd.Process.Signal(syscall.SIGHUP)   // two together are no harm
 	s.logged("schemes=look,new kept=none") // once or twice: signals that come together may be one
 	s.gets(s.ask("/buy", "r3"), 404, "")
 	fresh := s.ask("/new", "r4")
