The steps of changing settings stand once, in the lab's script

Seen: both ways to play stepped through a retune by themselves, the same lines twice. Change: script lists the steps as acts; each way only takes a phase.

--- a/lab/live/world.go
+++ b/lab/live/world.go
@@ -81,9 +81,8 @@
 	waiting sync.WaitGroup
 	rows    []balance.SchemeRow // all schemes and their twins
 	phase   plan.Phase          // of a retune
-	tuning  bool
-	twins   bool           // clients use the schemes' twins
-	out     map[string]int // workers that staff took out, how many times
+	twins   bool                // clients use the schemes' twins
+	out     map[string]int      // workers that staff took out, how many times
 	crashed error
 }
 
@@ -509,7 +508,16 @@
 		}
 		w.net.mu.Unlock()
 	case "settings":
-		w.retune(a.Begin)
+		w.mu.Lock()
+		if a.Do == "twins" {
+			w.twins = a.Begin
+		} else {
+			w.phase = plan.Phase(a.Part)
+			for _, n := range w.nodes {
+				go w.reload(n)
+			}
+		}
+		w.mu.Unlock()
 	case "clients":
 		if a.Do == "cancel" && a.Begin {
 			w.massCancel(a)
@@ -517,38 +525,6 @@
 	}
 }
 
-// retune changes the settings of all schedulers, step by step.
-func (w *world) retune(begin bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.tuning || begin != (w.phase == plan.First) {
-		return
-	}
-	last := plan.First
-	if begin {
-		last = plan.Twins
-	}
-	w.tuning = true
-	enter := func(phase plan.Phase) {
-		w.phase = phase
-		for _, n := range w.nodes {
-			go w.reload(n)
-		}
-	}
-	enter(plan.Both)
-	w.later(plan.RetuneUse, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.twins = begin
-	})
-	w.later(plan.RetuneDrop, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.tuning = false
-		enter(last)
-	})
-}
-
 func (w *world) reload(n *node) {
 	n.mu.Lock()
 	err := n.write()
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -64,7 +64,10 @@
 			continue
 		}
 		if f.Do == "retune" {
-			acts = both(acts, Act{Do: f.Do, Kind: "settings"}, float64(f.At), float64(f.For))
+			acts = retune(acts, float64(f.At), true, plan.Twins)
+			if f.For > 0 {
+				acts = retune(acts, float64(f.At+f.For), false, plan.First)
+			}
 			continue
 		}
 		for i, x := range parts {
@@ -92,6 +95,13 @@
 	return acts
 }
 
+// retune adds the steps to the schemes' twins, or back: both are there, clients use the others, the first are dropped.
+func retune(acts []Act, at float64, twins bool, last plan.Phase) []Act {
+	return append(acts, Act{At: at, Begin: true, Do: "phase", Kind: "settings", Part: int(plan.Both)},
+		Act{At: at + plan.RetuneUse, Begin: twins, Do: "twins", Kind: "settings"},
+		Act{At: at + plan.RetuneDrop, Begin: true, Do: "phase", Kind: "settings", Part: int(last)})
+}
+
 func named(p *plan.Plan, boxes []plan.Box, on string) (parts []Part) {
 	kind, name, zone, _ := plan.Part(on)
 	zones := p.Zones()
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -105,9 +105,8 @@
 	digest *xxhash.Digest      // of all decisions
 	rows   []balance.SchemeRow // all schemes and their twins
 	phase  plan.Phase          // of a retune
-	tuning bool
-	twins  bool           // clients use the schemes' twins
-	out    map[string]int // workers that staff took out, how many times
+	twins  bool                // clients use the schemes' twins
+	out    map[string]int      // workers that staff took out, how many times
 	err    error
 }
 
@@ -313,7 +312,11 @@
 			w.net.lossy = max(0, w.net.lossy+sign(a)*a.Factor)
 		}
 	case "settings":
-		w.retune(a.Begin)
+		if a.Do == "twins" {
+			w.twins = a.Begin
+		} else {
+			w.enter(plan.Phase(a.Part))
+		}
 	case "clients":
 		if a.Do == "cancel" && a.Begin {
 			w.massCancel(a)
@@ -321,24 +324,7 @@
 	}
 }
 
-// retune changes the settings of all schedulers, step by step.
-func (w *world) retune(begin bool) {
-	if w.tuning || begin != (w.phase == plan.First) {
-		return
-	}
-	last := plan.First
-	if begin {
-		last = plan.Twins
-	}
-	w.tuning = true
-	w.enter(plan.Both)
-	w.after(plan.RetuneUse, func() { w.twins = begin })
-	w.after(plan.RetuneDrop, func() {
-		w.tuning = false
-		w.enter(last)
-	})
-}
-
+// enter has all schedulers take the settings of a phase.
 func (w *world) enter(phase plan.Phase) {
 	w.phase = phase
 	for _, s := range w.procs {
