--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,6 +44,7 @@
 	warmEarly     = 2.0    // among many: a worker is taken to be warm so many times sooner than at the latest
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
+	newsPart      = 16     // of what it keeps away: most failures are chance, and most txns settle elsewhere
 	farPart       = 50     // of a txn's work that the way to other zones may take, and is no matter
 	settledMark   = 0x80   // in an entry of a scheme that failed: it has settled since
 )
@@ -273,9 +274,11 @@
 		}
 		s.heaviest = slices.MaxFunc(s.settled, func(a, b sending) int { return cmp.Compare(a.work, b.work) }).work
 		w.fails, w.aside, w.bad, w.heardAt = 0, 0, 0, now
-		if _, was := w.ill[t.row().Name]; was {
+		if v, was := w.ill[t.row().Name]; was {
 			delete(w.ill, t.row().Name)
-			s.learn(news{w, t.row().Name, true})
+			if v.bad > 1 { // after one alone nobody else stands aside
+				s.learn(now, news{w, t.row().Name, true})
+			}
 		}
 		s.left, s.leftAt = w, now
 		if p.begun && t.Hint > 0 {
@@ -286,6 +289,13 @@
 			w.bears.add(float64(w.known()+1) * t.run() / max(now-p.start, 1))
 			w.limit = limit(w.bears.at(0.5, 0))
 		}
+		for _, q := range t.posts {
+			if q.unfit { // another settled it, so the fault was that worker's
+				s.failing(now, q.w, t.row().Name, true, true)
+			}
+		}
+	case Unfit:
+		p.unfit, t.unfit = true, t.unfit+1
 	case NoConnect:
 		s.failed(now, w, p.at)
 	case TimedOut, Cancelled:
@@ -298,9 +308,8 @@
 		s.failing(now, w, t.row().Name, true, how == Erred)
 		s.ails(w)
 	}
-	if !how.NeverRan() && how != Done {
-		p.ran, t.ran = true, true
-	}
+	p.ran = !how.NeverRan() && how != Done
+	t.ran = t.ran || p.ran
 	if closed {
 		s.end(t)
 	}
@@ -309,7 +318,7 @@
 			delete(s.txns, ref)
 		}
 	} else if t.out == 0 {
-		if s.hold(t); !s.affords(now, t) && s.spent(now) && s.mayDecline(t) {
+		if s.hold(t); !s.affords(now, t) && float64(len(s.further)) >= s.allowance(now)/2 && s.mayDecline(t) {
 			// Its client's next try is not beyond any txn's first, and is in time if it comes at once. Held
 			// till the budget has room again it was late, and its client was told to stay away.
 			for i := range t.dueAt {
@@ -342,10 +351,21 @@
 	}
 	w.ill[scheme] = v
 	if s.ails(w); tell {
-		s.learn(news{w, scheme, false})
+		s.learn(now, news{w, scheme, false})
 	}
 }
 
+// pays tells whether news may earn its price. All pay for what one tells, and gain at most what the fleet sends
+// there of that scheme meanwhile: told by each of hundreds with little work, it cost more than the failures.
+func (s *Scheduler) pays(now float64) bool {
+	peers, earned := float64(s.terms.Peers), 0.0
+	if len(s.settled) > 0 {
+		kept := float64(len(s.settled)) / max(now-s.settled[0].at, 1) * 4 * asideFirst * peers
+		earned = kept / float64(max(s.live, 1)*len(s.terms.Schemes)) / newsPart
+	}
+	return earned >= s.terms.TellFee*(peers-1)*3/256
+}
+
 // failed stands a worker aside. Where no connection came up for long it doubts what is out: a cut link gives
 // no reset, and that would stay silent. A refusal or reset is an answer: copies then only ate the fleet.
 func (s *Scheduler) failed(now float64, w *worker, since float64) {
@@ -527,14 +547,6 @@
 // tie orders those of equal load: the draw that belongs to this ranking and the place in the list.
 func (s *Scheduler) tie(w *worker) uint32 { return s.draw(s.salt + w.place) }
 
-// untold are postings that have not begun, where beginnings are told: elsewhere that says nothing.
-func (s *Scheduler) untold() []*posting {
-	if !s.terms.TellsStart {
-		return nil
-	}
-	return s.waits
-}
-
 // doubted goes through the listed workers that a probe may be for: those that failed lately, and those where
 // a posting has not begun.
 func (s *Scheduler) doubted(now float64, f func(w *worker)) {
@@ -548,7 +560,7 @@
 	for _, w := range s.sick {
 		f(w)
 	}
-	for _, p := range s.untold() {
+	for _, p := range s.waits {
 		if p.w.here {
 			f(p.w)
 		}
@@ -620,10 +632,11 @@
 		return false
 	})
 	// A key that many ask for has as many more homes as its part of the work fills.
-	n := homes - 1 + int(math.Ceil(float64(s.asked[t.hash]*len(order))/float64(max(len(s.keys), 1))))
+	asked := s.asked[t.hash]
 	if s.thin() {
-		n = 2 + int(math.Ceil(float64((s.asked[t.hash]-1)*len(order))/float64(max(len(s.keys), 1))))
+		asked--
 	}
+	n := homes - 1 + int(math.Ceil(float64(asked*len(order))/float64(max(len(s.keys), 1))))
 	if len(order) == 0 {
 		return nil
 	}
@@ -720,17 +733,14 @@
 	if t.row().Effect == OnceOnly && max(v.bad, w.bad) > 1 {
 		v.till = max(v.till, w.badTill) + 16*asideFirst // trials with one that can't go again are rare
 	}
-	if now < v.till {
-		return false
-	}
-	return s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
+	return now >= v.till && s.takes(now, w) && s.mayGo(now, t, w) && s.warm(now, t, w)
 }
 
 // mayGo keeps rule 2.
 func (s *Scheduler) mayGo(now float64, t *txn, w *worker) bool {
 	row := t.row()
 	for _, p := range t.posts {
-		if !p.done && p.w == w {
+		if p.w == w && (!p.done || p.unfit) {
 			return false // a second copy where the first is gains nothing
 		}
 		if p.done && !p.ran || row.Effect == Repeatable {
@@ -766,7 +776,7 @@
 		return false
 	}
 	waits := func(p *posting) bool { return !p.begun && !s.silent(now, p) }
-	if s.terms.TellsStart && w.unbegun > 0 && slices.ContainsFunc(w.own, waits) {
+	if w.unbegun > 0 && slices.ContainsFunc(w.own, waits) {
 		return false
 	}
 	return w.known() < w.fullWith || now >= w.fullAt+s.fullFor()
@@ -823,8 +833,7 @@
 	each := 2 * wide * float64(peers) / float64(max(s.running, 1))
 	k, most := max(int(each*s.share(float64(at)*s.terms.Fall)), 1), max(int(each), 1)
 	// Each worker's turns begin elsewhere, or one scheduler would have all workers of a deploy at once.
-	place := (s.terms.Me - at*most - int(w.hash%uint32(peers))) % peers
-	place = (place + peers) % peers
+	place := ((s.terms.Me-at*most-int(w.hash%uint32(peers)))%peers + peers) % peers
 	switch {
 	case wide > 1:
 		part = 1 / float64(place+1)
@@ -914,7 +923,7 @@
 	for len(s.oldestOut) > 0 && s.oldestOut[0].t.waits == 0 {
 		s.oldestOut.pop()
 	}
-	return s.thin() && s.terms.TellsStart && now-s.oldestOut.next() > s.tightest
+	return s.thin() && now-s.oldestOut.next() > s.tightest
 }
 
 // order tells which held txn goes first: the sooner due, unless it is crowded, when going by due times makes
@@ -936,7 +945,7 @@
 
 // NextPosting decides the next posting to make.
 func (s *Scheduler) NextPosting(now float64) (Post, bool) {
-	for _, p := range s.untold() {
+	for _, p := range s.waits {
 		s.unheard(now, p)
 		if p.t.out == 1 && !p.t.over && !p.t.held && now >= s.tryAt(p) && s.affords(now, p.t) {
 			s.hold(p.t)
@@ -988,10 +997,10 @@
 	s.moves++
 	to.own = append(to.own, p)
 	s.touch(to)
-	s.waits = append(s.waits, p)
-	to.unbegun++
-	best.waits++
-	if s.thin() {
+	if s.terms.TellsStart { // elsewhere it says nothing that one has not begun
+		s.waits = append(s.waits, p)
+		to.unbegun++
+		best.waits++
 		s.oldestOut.add(best.came, best)
 	}
 	s.held.drop(best)
@@ -1009,9 +1018,6 @@
 	return s.terms.BudgetFor <= 0 || len(t.posts) == 0 || float64(len(s.further)+1) <= allowed+1e-9
 }
 
-// spent tells whether half of the allowance is.
-func (s *Scheduler) spent(now float64) bool { return float64(len(s.further)) >= s.allowance(now)/2 }
-
 func (s *Scheduler) allowance(now float64) float64 {
 	terms := s.terms
 	from := now - terms.BudgetFor
@@ -1080,7 +1086,7 @@
 	if t.out > 0 {
 		return math.Inf(1) // the posting that is out may still settle it, and ends by its expiry
 	}
-	if len(t.posts) >= t.terms.MaxPosts || t.ran && row.Effect == OnceOnly {
+	if len(t.posts) >= t.terms.MaxPosts || t.ran && row.Effect == OnceOnly || t.unfit > 1 {
 		return 0
 	}
 	last, needs := t.until-2*s.terms.Tick, t.run()
@@ -1132,7 +1138,7 @@
 		s.excess = s.excess[1:]
 	}
 	crowded := s.crowded(now)
-	for _, p := range s.untold() {
+	for _, p := range s.waits {
 		// Of two that wait the first stays in its queue and the copy moves on. Left there to run late, they
 		// would make all behind them late too.
 		moves := p.t.out > 1 && p.no == len(p.t.posts)-1 && now >= s.tryAt(p)
@@ -1211,7 +1217,7 @@
 	if s.thin() && len(s.news) == 0 {
 		return math.Inf(1)
 	} else if s.thin() {
-		return s.toldAt + 8*tellEvery
+		return s.toldAt + s.tellGap()/8 // rare, best fresh; each hears as many a second in a fleet of any size
 	}
 	if s.told != s.moves {
 		return s.toldAt + s.tellGap()
@@ -1242,7 +1248,7 @@
 			at = min(at, x)
 		}
 	}
-	for _, p := range s.untold() {
+	for _, p := range s.waits {
 		next(s.tryAt(p))
 		next(s.lateAt(p, true))
 	}
--- a/balance/known.go
+++ b/balance/known.go
@@ -240,11 +240,18 @@
 			at := int(body[2] &^ settledMark)
 			for _, w := range s.list {
 				if uint16(w.hash) != binary.BigEndian.Uint16(body) || at >= len(s.terms.Schemes) {
-				} else if scheme := s.terms.Schemes[at].Name; body[2]&settledMark == 0 {
+					continue
+				}
+				scheme := s.terms.Schemes[at].Name
+				if body[2]&settledMark == 0 {
 					s.failing(now, w, scheme, false, false)
 				} else {
 					delete(w.ill, scheme)
 				}
+				// What two others have told, or one that it settled, all know.
+				s.news = slices.DeleteFunc(s.news, func(n news) bool {
+					return n.w == w && n.scheme == scheme && (w.ill[scheme].bad > 2 || body[2]&settledMark != 0)
+				})
 			}
 		}
 		return
@@ -343,8 +350,8 @@
 
 // learn keeps what is to be told among many. Where nothing is told it is dropped, and of more than a message holds
 // the oldest: it would only grow.
-func (s *Scheduler) learn(n news) {
-	if s.thin() && s.terms.Messages && !s.yields {
+func (s *Scheduler) learn(now float64, n news) {
+	if s.thin() && s.terms.Messages && !s.yields && s.pays(now) {
 		s.news = append(s.news, n)[max(0, len(s.news)+1-mostBytes/3):]
 	}
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -214,3 +214,68 @@
 		}
 	}
 }
+
+// What a worker calls wrong says nothing of that worker: on a large fleet's day 672 requests of bad clients put healthy
+// workers aside at 315 schedulers, and the news of it cost 0.04 of G. One that another worker settles does.
+func TestWrongRequestIsNotItsWorkersFault(t *testing.T) {
+	terms := plainTerms
+	terms.Peers, terms.Messages = 40, true
+	s := started(terms, 6)
+	posted := func(now float64, ref string, no int, how Outcome) *worker {
+		w := s.byID[mustPost(t, s, now).Worker]
+		s.Started(now, ref, no)
+		s.Ended(now+1, ref, no, how, how == Done, NoLoad)
+		return w
+	}
+	arrive(s, 1000, "bad", 0, 100)
+	a := posted(1000, "bad", 0, Unfit)
+	b := posted(1002, "bad", 1, Unfit)
+	if f, ok := s.NextFinal(1004); a == b || !ok || f.Ref != "bad" {
+		t.Errorf("posted to %s and %s, then %v", a.ID, b.ID, ok)
+	}
+	if len(s.news)+a.bad+b.bad+len(a.ill)+len(b.ill) > 0 {
+		t.Error("workers are blamed for a client's request")
+	}
+	arrive(s, 2000, "good", 0, 100)
+	a = posted(2000, "good", 0, Unfit)
+	if b = posted(2002, "good", 1, Done); a == b || len(a.ill) != 1 || len(b.ill) != 0 || len(s.news) != 1 {
+		t.Errorf("blamed: %v %v, told %d", a.ill, b.ill, len(s.news))
+	}
+	arrive(s, 3000, "once", 1, 100)
+	posted(3000, "once", 0, Unfit)
+	if f, ok := s.NextFinal(3002); !ok || f.Declined {
+		t.Errorf("a once-only txn that may have run: %v %v", f, ok)
+	}
+}
+
+// However much fails, each scheduler hears as many messages a second in a fleet of any size, and none that cost more
+// than the postings they could keep away.
+func TestNewsIsBoundedByTheFleet(t *testing.T) {
+	heard := func(peers int, fee float64) float64 {
+		terms := plainTerms
+		terms.Peers, terms.Messages, terms.TellFee = peers, true, fee
+		s := started(terms, 50)
+		sent := 0
+		for i := range 4000 {
+			now, ref := 1000+20*float64(i), fmt.Sprint(i)
+			arrive(s, now, ref, 0, 10)
+			if p, ok := s.NextPosting(now); ok {
+				s.Started(now, p.Ref, 0)
+				s.Ended(now+5, p.Ref, 0, []Outcome{Done, Erred, Erred}[i%3], i%3 == 0, NoLoad)
+			}
+			s.Gone(now+6, ref)
+			if _, ok := s.NextMessage(now + 6); ok {
+				sent++
+			}
+		}
+		return float64(sent*(peers-1)) / 80
+	}
+	for _, peers := range []int{10, 100, 300, 3000} {
+		if n := heard(peers, 0); n < 1 || n > 8.1/tellEvery*1000 {
+			t.Errorf("%d schedulers: each hears %g messages a second", peers, n)
+		}
+	}
+	if dear, cheap := heard(300, 100), heard(300, 0.01); dear > 0 || cheap == 0 {
+		t.Errorf("%g messages a second at a price of 100, %g at 0.01", dear, cheap)
+	}
+}
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -66,6 +66,7 @@
 	Fall       float64
 	FallTimes  float64
 	NewFee     float64 // what a new connection for each txn costs
+	TellFee    float64 // what a message of 256 bytes for each txn costs, as part of the worth of all
 	Idle       float64 // a worker closes connections that stood idle for so long
 	// In any time of BudgetFor, postings beyond each txn's first are at most BudgetFree and BudgetRatio a txn
 	// taken.
@@ -116,6 +117,7 @@
 	Reset             // may have run
 	Cancelled         // may have run
 	NeverSent         // never ran
+	Unfit             // may have run; the worker says that the request itself is wrong
 )
 
 // NeverRan reports whether the outcome proves that the posting had no effect.
@@ -263,6 +265,7 @@
 	begun, done, off bool
 	lost             bool // its worker was taken to have lost it
 	ran              bool // it ended, and may have run
+	unfit            bool // its worker says that the request is wrong
 }
 
 type txn struct {
@@ -274,6 +277,7 @@
 	out              int
 	over             bool // answered or gone
 	ran              bool // an ended posting may have run
+	unfit            int  // workers that say the request is wrong
 	surplus          bool
 	hash             uint32     // of its key
 	held             bool       // it stands in the queue of those that want a posting
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -68,6 +68,7 @@
 	}{
 		"503 not started": {func(c *call) { c.status(503, "1") }, true},
 		"504 not started": {func(c *call) { c.status(504, "1") }, true},
+		"400 wrong":       {func(c *call) { c.status(400, "") }, false},
 		"503 cut off": {func(c *call) {
 			c.raw("HTTP/1.1 503 -\r\nNot-Started: 1\r\nContent-Length: 9\r\n\r\n")
 		}, true},
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -49,7 +49,8 @@
 			"max_retry_after": us(s.Advice), "retry_after": s.Advice > 0, "peers": s.Peers, "probes": s.Probes,
 			"conn_idle": us(s.Idle), "connect_timeout": us(s.Dial)},
 		"guarantees": map[string]any{"cold_from": c.From, "cold": us(c.For), "fall": us(c.Fall),
-			"fall_multiple": c.Times, "must_ask_in": us(p.Discovery.MustAsk)}}
+			"fall_multiple": c.Times, "must_ask_in": us(p.Discovery.MustAsk)},
+		"fees": map[string]any{"peer": s.PeerPrice}}
 	for _, w := range p.Workers {
 		if w.ReportsEach > 0 {
 			all["report"] = map[string]any{"fields": []string{"x0"}}
--- a/lab/plan/layout.go
+++ b/lab/plan/layout.go
@@ -67,7 +67,7 @@
 	s, d, c := &p.Schedulers, &p.Discovery, &p.Cold
 	t := balance.Terms{Seed: seed, Me: me, Peers: s.Count, Zone: me % len(s.Zones), Tick: float64(s.Tick),
 		OverGain: s.OverShare, MaxPosts: s.MaxPosts, Copies: s.Copies, Cancels: s.Cancels, Probes: s.Probes,
-		Messages: s.Peers, MustAsk: d.Mode == "watch", AskIn: float64(d.MustAsk), TellsStart: true,
+		Messages: s.Peers, TellFee: s.PeerPrice, MustAsk: d.Mode == "watch", AskIn: float64(d.MustAsk), TellsStart: true,
 		LiveWeight: d.Weights == "live", MaxStay: float64(s.Advice), ColdFrom: c.From, ColdFor: float64(c.For),
 		Fall: float64(c.Fall), FallTimes: c.Times}
 	for i := range p.Schemes {
--- a/lab/plan/plan.go
+++ b/lab/plan/plan.go
@@ -55,19 +55,21 @@
 
 // Schedulers says how many there are and what they may do.
 type Schedulers struct {
-	Count     int      `toml:"count"`
-	Zones     []string `toml:"zones"` // schedulers are dealt over these in turn
-	Tick      Span     `toml:"tick"`
-	MaxPosts  int      `toml:"max_postings"`
-	Copies    bool     `toml:"copies"`
-	Cancels   bool     `toml:"cancels"`
-	Probes    bool     `toml:"probes"`
-	Peers     bool     `toml:"peers"` // they may send one another datagrams
-	Advice    Span     `toml:"advice"`
-	StopFor   Span     `toml:"stop_for"` // a planned stop takes this long at the most
-	Dial      Span     `toml:"dial"`
-	Idle      Span     `toml:"idle"`
-	OverShare float64  `toml:"over_share"` // worth of a txn past its tenant's share, as a part
+	Count    int      `toml:"count"`
+	Zones    []string `toml:"zones"` // schedulers are dealt over these in turn
+	Tick     Span     `toml:"tick"`
+	MaxPosts int      `toml:"max_postings"`
+	Copies   bool     `toml:"copies"`
+	Cancels  bool     `toml:"cancels"`
+	Probes   bool     `toml:"probes"`
+	Peers    bool     `toml:"peers"` // they may send one another datagrams
+	// What 256 bytes told for each job cost, as part of the worth of all; the module is told, nothing is taken off.
+	PeerPrice float64 `toml:"peer_price"`
+	Advice    Span    `toml:"advice"`
+	StopFor   Span    `toml:"stop_for"` // a planned stop takes this long at the most
+	Dial      Span    `toml:"dial"`
+	Idle      Span    `toml:"idle"`
+	OverShare float64 `toml:"over_share"` // worth of a txn past its tenant's share, as a part
 }
 
 // Scheme is one kind of txn.
--- a/lab/sim/procs.go
+++ b/lab/sim/procs.go
@@ -344,6 +344,8 @@
 				gen := o.gen
 				s.w.after(s.w.net.delay(), func() {
 					if o.gen == gen && o.alive {
+						s.w.got.Fleet.Heard++
+						s.w.got.Fleet.Bytes += len(body)
 						o.d.Heard(o.clock(), s.no, body)
 						o.pull()
 					}
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"runtime"
 	"sync"
 	"testing"
@@ -120,3 +121,33 @@
 		}
 	}
 }
+
+// What schedulers tell each other of failures grows no faster than the fleet where it has a price: told by all to all, a
+// fleet three times as large heard nine times as much. Traffic and workers grow with the schedulers.
+func TestNewsGrowsNoFasterThanTheFleet(t *testing.T) {
+	heard := map[int]float64{}
+	for _, n := range []int{10, 100, 300} {
+		raw, err := os.ReadFile("../../experiments/news.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err = plan.With(raw, fmt.Sprintf("schedulers.count=%d", n), fmt.Sprintf("workers.w.count=%d", n*3/5),
+			"schedulers.peer_price=0.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := plan.Parse(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := play(t, p, 1, "adus")
+		heard[n] = float64(r.Fleet.Heard) / (float64(p.Length) / 1000)
+		if cost := 0.1 * float64(r.Fleet.Bytes) / 256 / float64(r.Offered); cost > 0.01 {
+			t.Errorf("%d schedulers: news costs %.4f of all worth", n, cost)
+		}
+	}
+	if told := func(n int) float64 { return heard[n] / float64(n-1) }; told(10) == 0 || told(100) > 12*told(10) ||
+		told(300) > 36*told(10) || heard[300] > 3*heard[100] {
+		t.Errorf("messages that came a second, by schedulers: %v", heard)
+	}
+}
--- a/lab/tally/tally.go
+++ b/lab/tally/tally.go
@@ -50,6 +50,8 @@
 	Probes   int `json:"probes"`
 	Dials    int `json:"connections"` // made or tried
 	Messages int `json:"messages"`    // as sent, to any number
+	Heard    int `json:"heard"`       // as they came to each
+	Bytes    int `json:"heard_bytes"`
 }
 
 // Scheme counts one scheme's jobs by how they ended.
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -408,6 +408,8 @@
 		return balance.Reset // it ended before its last line
 	case l.probing && s == 503, (s == 503 || s == 504) && mark == "1":
 		return balance.Full
+	case s == 400:
+		return balance.Unfit // it says nothing of the worker, which else stood aside for one client's bad requests
 	}
 	return balance.Erred
 }
--- a/startup/startup.go
+++ b/startup/startup.go
@@ -73,7 +73,8 @@
 		Dial   int64 `json:"connect_timeout"`
 	} `json:"policy_limits"`
 	Fees struct {
-		New float64 `json:"handshake"`
+		New  float64 `json:"handshake"`
+		Peer float64 `json:"peer"`
 	} `json:"fees"`
 	Rules struct {
 		ColdFrom  float64  `json:"cold_from"`
@@ -220,7 +221,7 @@
 func (f *facts) terms(seed uint64) (balance.Terms, error) {
 	t := balance.Terms{Seed: seed, Me: f.Me, Peers: f.Peers, Zone: f.Zone, Tick: ms(f.Tick), OverGain: f.Surplus,
 		MaxPosts: math.MaxInt, Copies: f.Limits.Copies, Cancels: f.Limits.Cancel, Messages: f.Limits.Peers,
-		Probes: f.Limits.Probes, Idle: ms(f.Limits.Idle), NewFee: f.Fees.New,
+		Probes: f.Limits.Probes, Idle: ms(f.Limits.Idle), NewFee: f.Fees.New, TellFee: f.Fees.Peer,
 		LiveWeight: f.Weights == "live",
 		MustAsk:    f.Mode == "subscribe", AskIn: ms(f.Rules.AskIn), TellsStart: f.Domain.Starts,
 		ColdFrom: f.Rules.ColdFrom, ColdFor: ms(f.Rules.Cold), Fall: ms(f.Rules.Fall), FallTimes: f.Rules.FallTimes}
