--- /dev/null
+++ b/cmd/beamctl/main.go
@@ -0,0 +1,455 @@
+// Command beamctl asks the fleet's agents: who is there, who owns what, who is out; and takes workers out and back at
+// every scheduler. Each command ends with a table of who obeyed, refused and why, was not reached, is unknown.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"os"
+	"os/user"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"shalebeam/agent"
+	"shalebeam/fleet"
+)
+
+// Exit codes: all obeyed, some did, none did or it was refused, nobody could say.
+const (
+	all     = 0
+	some    = 1
+	none    = 2
+	unknown = 3
+)
+
+// exit ends the program with a code, after its output.
+type exit struct {
+	code int
+	why  string
+}
+
+func (e exit) Error() string { return e.why }
+
+type global struct {
+	Agent   []string      `env:"BEAM_AGENT" default:"127.0.0.1:7001" placeholder:"ADDR" help:"Agents to ask, tried in turn."`
+	Timeout time.Duration `default:"10s" help:"How long to wait for all to obey."`
+	JSON    bool          `help:"Write JSON to standard output."`
+	DryRun  bool          `help:"Say what would be done, and change nothing."`
+	By      string        `env:"BEAM_BY" placeholder:"NAME" help:"Who asks; by default the user's name."`
+	session string
+	number  uint64
+}
+
+func (g *global) caller(most time.Duration) *agent.Caller {
+	return &agent.Caller{HTTP: agent.NewHTTP(nil, most), Addrs: g.Agent}
+}
+
+func (g *global) by() string {
+	if g.By != "" {
+		return g.By
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "somebody"
+}
+
+func (g *global) read(ctx context.Context) (*fleet.Record, error) {
+	var raw json.RawMessage
+	if err := g.caller(2*time.Second).Get(ctx, "/v1/read", &raw); err != nil {
+		return nil, exit{unknown, "the record can't be read: " + err.Error()}
+	}
+	r := fleet.NewRecord()
+	return r, r.Restore(raw)
+}
+
+// do sends a command, the same one again where nobody says what came of it.
+func (g *global) do(ctx context.Context, c fleet.Command) (fleet.Answer, error) {
+	if g.session == "" {
+		g.session = "beamctl/" + strconv.FormatUint(rand.Uint64(), 36)
+	}
+	g.number++
+	c.V, c.Caller, c.Number, c.By = fleet.Form, g.session, g.number, g.by()
+	if err := c.Check(); err != nil {
+		return fleet.Answer{}, exit{none, err.Error()}
+	}
+	a, err := g.caller(4*time.Second).Do(ctx, c)
+	switch {
+	case errors.Is(err, agent.ErrOpen):
+		return a, exit{unknown, err.Error()}
+	case err != nil:
+		return a, exit{none, "refused: " + err.Error()}
+	case !a.Done:
+		return a, exit{none, "refused: " + a.Why}
+	}
+	return a, nil
+}
+
+func (g *global) write(x any, table func(w *tabwriter.Writer)) {
+	if g.JSON {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", " ")
+		_ = e.Encode(x)
+		return
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	table(w)
+	w.Flush()
+}
+
+type status struct{}
+
+// Run shows each agent as it answers itself.
+func (status) Run(g *global, ctx context.Context) error {
+	type row struct {
+		agent.Status
+		Addr string `json:"addr"`
+		Err  string `json:"err,omitempty"`
+	}
+	rec, err := g.read(ctx)
+	addrs := map[string]string{}
+	if err == nil {
+		for _, m := range rec.Of("agent") {
+			addrs[m.ID] = m.Addr
+		}
+	} else {
+		for _, a := range g.Agent {
+			addrs[a] = a
+		}
+	}
+	var rows []row
+	reached := 0
+	for _, id := range slices.Sorted(maps.Keys(addrs)) {
+		r := row{Addr: addrs[id]}
+		c := &agent.Caller{HTTP: agent.NewHTTP(nil, time.Second), Addrs: []string{r.Addr}}
+		if e := c.Get(ctx, "/v1/status", &r.Status); e != nil {
+			r.Name, r.Err = id, "not reached"
+		} else {
+			reached++
+		}
+		rows = append(rows, r)
+	}
+	g.write(rows, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "AGENT\tZONE\tADDR\tVOTER\tRECORD\tOWNS")
+		for _, r := range rows {
+			voter := "-"
+			switch {
+			case r.Voter != 0 && r.Leads:
+				voter = fmt.Sprint(r.Voter, " leads")
+			case r.Voter != 0 && !r.Counts:
+				voter = fmt.Sprint(r.Voter, " waits")
+			case r.Voter != 0:
+				voter = fmt.Sprint(r.Voter)
+			}
+			owns := strings.Join(slices.Sorted(maps.Keys(r.Holds)), " ")
+			if r.Err != "" {
+				owns = r.Err
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", r.Name, r.Zone, r.Addr, voter, r.No, owns)
+		}
+	})
+	switch {
+	case err != nil:
+		return err
+	case reached == len(rows):
+		return nil
+	case reached > 0:
+		return exit{some, fmt.Sprintf("%d of %d agents answer", reached, len(rows))}
+	}
+	return exit{unknown, "no agent answers"}
+}
+
+type workerDown struct {
+	ID   string `arg:"" help:"The worker."`
+	Zone string `help:"Its zone, where it is not on record yet."`
+	Why  string `help:"For the audit."`
+}
+
+type workerUp struct {
+	ID    string `arg:"" help:"The worker."`
+	Why   string `help:"For the audit."`
+	Force bool   `help:"Also where another person took it out."`
+}
+
+func (c *workerDown) Run(g *global, ctx context.Context) error {
+	return g.change(ctx, fleet.Command{Do: "out", ID: c.ID, Zone: c.Zone, Why: c.Why})
+}
+
+func (c *workerUp) Run(g *global, ctx context.Context) error {
+	return g.change(ctx, fleet.Command{Do: "in", ID: c.ID, Why: c.Why, Force: c.Force})
+}
+
+// change puts an intent on record and waits until every scheduler has said yes to it.
+func (g *global) change(ctx context.Context, c fleet.Command) error {
+	if g.DryRun {
+		r, err := g.read(ctx)
+		if err != nil {
+			return err
+		}
+		g.write(r.Of("scheduler"), func(w *tabwriter.Writer) {
+			fmt.Fprintf(w, "worker %s: %s, now out: %t. These would be told:\n", c.ID, c.Do, r.Workers[c.ID].Out)
+			for _, m := range r.Of("scheduler") {
+				fmt.Fprintf(w, "%s\t%s\n", m.ID, m.Zone)
+			}
+		})
+		return nil
+	}
+	a, err := g.do(ctx, c)
+	if err != nil {
+		return err
+	}
+	var t agent.Told
+	obeyed := 0
+	for {
+		err = g.caller(2*time.Second).Get(ctx, "/v1/told?worker="+url.QueryEscape(c.ID), &t)
+		obeyed = 0
+		for _, r := range t.Rows {
+			if r.State == fleet.Obeyed {
+				obeyed++
+			}
+		}
+		if err == nil && t.Intent.Out == (c.Do == "out") && obeyed == len(t.Rows) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			if err != nil || t.Intent.Out != (c.Do == "out") {
+				return exit{unknown, fmt.Sprintf("on record as %d; who obeys is not known: %v", a.No, err)}
+			}
+		case <-time.After(100 * time.Millisecond):
+			continue
+		}
+		break
+	}
+	g.write(t, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "SCHEDULER\tSTATE\tWHY")
+		for _, r := range t.Rows {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", r.ID, r.State, r.Why)
+		}
+		fmt.Fprintf(w, "%d of %d obeyed; told by %s as %s number %d\n", obeyed, len(t.Rows), fleet.AgentOf(t.Owner), t.Matter, t.Fence)
+	})
+	switch {
+	case obeyed == len(t.Rows):
+		return nil
+	case obeyed > 0:
+		return exit{some, "on record; the others are told until they obey"}
+	}
+	return exit{none, "on record; nobody has obeyed yet"}
+}
+
+type workerList struct {
+	Out bool `help:"Those alone that are out."`
+}
+
+func (c *workerList) Run(g *global, ctx context.Context) error {
+	r, err := g.read(ctx)
+	if err != nil {
+		return err
+	}
+	g.write(r.Workers, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "WORKER\tZONE\tSTATE\tSINCE\tBY\tWHY")
+		for _, id := range slices.Sorted(maps.Keys(r.Workers)) {
+			i, state := r.Workers[id], "in use"
+			if i.Out {
+				state = "out"
+			} else if c.Out {
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", id, i.Zone, state, i.Since, i.By, i.Why)
+		}
+	})
+	return nil
+}
+
+type ownerList struct{}
+
+func (ownerList) Run(g *global, ctx context.Context) error {
+	r, err := g.read(ctx)
+	if err != nil {
+		return err
+	}
+	g.write(r.Matters, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "MATTER\tOWNER\tNUMBER\tWANTED BY")
+		for _, name := range slices.Sorted(maps.Keys(r.Matters)) {
+			m := r.Matters[name]
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", name, m.Owner, m.Fence, m.Wanted)
+		}
+	})
+	return nil
+}
+
+type ownerMove struct {
+	Matter string `arg:"" help:"As zone/a."`
+	To     string `arg:"" help:"The agent that is to have it."`
+	Why    string `help:"For the audit."`
+}
+
+func (c *ownerMove) Run(g *global, ctx context.Context) error {
+	if g.DryRun {
+		fmt.Printf("%s would be asked to pass to %s\n", c.Matter, c.To)
+		return nil
+	}
+	if _, err := g.do(ctx, fleet.Command{Do: "want", Matter: c.Matter, Owner: c.To, Why: c.Why}); err != nil {
+		return err
+	}
+	for {
+		if r, err := g.read(ctx); err == nil && fleet.AgentOf(r.Matters[c.Matter].Owner) == c.To {
+			fmt.Printf("%s is %s's, number %d\n", c.Matter, c.To, r.Matters[c.Matter].Fence)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return exit{some, "on record; its owner has not passed it on yet"}
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+type events struct {
+	Last int `default:"20" help:"How many."`
+}
+
+func (c *events) Run(g *global, ctx context.Context) error {
+	r, err := g.read(ctx)
+	if err != nil {
+		return err
+	}
+	rows := r.Rows[max(0, len(r.Rows)-c.Last):]
+	g.write(rows, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "NO\tWHAT\tOF\tBY\tWHY")
+		for _, e := range rows {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", e.No, e.What, e.Of, e.By, e.Why)
+		}
+	})
+	return nil
+}
+
+type memberAdd struct {
+	ID   string `arg:""`
+	Zone string `required:""`
+	Addr string `required:"" help:"Of a scheduler its second address."`
+	Kind string `default:"scheduler" enum:"scheduler,agent"`
+}
+
+func (c *memberAdd) Run(g *global, ctx context.Context) error {
+	return g.plain(ctx, fleet.Command{Do: "member", Member: &fleet.Member{ID: c.ID, Kind: c.Kind, Zone: c.Zone, Addr: c.Addr}})
+}
+
+type memberRemove struct {
+	ID  string `arg:""`
+	Why string `help:"For the audit: a scheduler that is removed counts as known to be gone."`
+}
+
+func (c *memberRemove) Run(g *global, ctx context.Context) error {
+	return g.plain(ctx, fleet.Command{Do: "unmember", ID: c.ID, Why: c.Why})
+}
+
+func (g *global) plain(ctx context.Context, c fleet.Command) error {
+	if g.DryRun {
+		fmt.Println("would be put on record:", c.Do, c.ID)
+		return nil
+	}
+	a, err := g.do(ctx, c)
+	if err == nil {
+		fmt.Println("on record as", a.No)
+	}
+	return err
+}
+
+type memberReplace struct {
+	Old  uint64 `arg:"" help:"The number of the voter that is gone for good."`
+	New  uint64 `arg:"" help:"A number that no voter ever had."`
+	Addr string `required:"" help:"Where the new one listens; it is started with joins = true."`
+}
+
+func (c *memberReplace) Run(g *global, ctx context.Context) error {
+	if g.DryRun {
+		fmt.Printf("voter %d would go, and %d at %s come\n", c.Old, c.New, c.Addr)
+		return nil
+	}
+	raw, _ := json.Marshal(map[string]any{"add": c.New, "addr": c.Addr, "remove": c.Old})
+	var last error
+	for _, a := range g.Agent {
+		q, _ := http.NewRequestWithContext(ctx, "POST", "http://"+a+"/v1/voters", strings.NewReader(string(raw)))
+		r, err := http.DefaultClient.Do(q)
+		if err != nil {
+			last = err
+			continue
+		}
+		var no agent.Refusal
+		_ = json.NewDecoder(r.Body).Decode(&no)
+		r.Body.Close()
+		if r.StatusCode != 200 {
+			last = errors.New(no.Why)
+			continue
+		}
+		for ctx.Err() == nil {
+			if rec, err := g.read(ctx); err == nil && rec.Voters[c.New] == c.Addr && rec.Voters[c.Old] == "" {
+				fmt.Printf("voter %d at %s is in, %d is out\n", c.New, c.Addr, c.Old)
+				return nil
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		return exit{unknown, "asked for; not on record in time"}
+	}
+	return exit{none, fmt.Sprint("refused: ", last)}
+}
+
+type check struct {
+	Path string `arg:"" help:"An agent's configuration."`
+}
+
+func (c *check) Run() error {
+	f, err := agent.Load(c.Path)
+	if err != nil {
+		return exit{none, err.Error()}
+	}
+	fmt.Printf("%s: ok, name=%s voters=%d schedulers=%d\n", c.Path, f.Name, len(f.Voter), len(f.Scheduler))
+	return nil
+}
+
+func main() {
+	var cli struct {
+		global
+		Status status `cmd:"" help:"The agents, and what each owns."`
+		Worker struct {
+			Down workerDown `cmd:"" help:"Take a worker out at every scheduler."`
+			Up   workerUp   `cmd:"" help:"Put it back."`
+			List workerList `cmd:"" help:"The workers on record."`
+		} `cmd:"" help:"Workers."`
+		Owner struct {
+			List ownerList `cmd:"" help:"Who acts for which zone."`
+			Move ownerMove `cmd:"" help:"Have another agent act for it."`
+		} `cmd:"" help:"Who acts for the fleet."`
+		Events events `cmd:"" help:"The audit's last rows."`
+		Member struct {
+			Add     memberAdd     `cmd:"" help:"Put a scheduler or an agent on record."`
+			Remove  memberRemove  `cmd:"" help:"Take one off."`
+			Replace memberReplace `cmd:"" help:"Replace a voter that is gone for good."`
+		} `cmd:"" help:"Members and voters."`
+		Check check `cmd:"" help:"Check an agent's configuration."`
+	}
+	k := kong.Parse(&cli, kong.Name("beamctl"), kong.Description("The fleet's command line."))
+	ctx, stop := context.WithTimeout(context.Background(), cli.Timeout)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	err := k.Run(&cli.global)
+	var e exit
+	if errors.As(err, &e) {
+		fmt.Fprintln(os.Stderr, "beamctl:", e.why)
+		os.Exit(e.code)
+	}
+	k.FatalIfErrorf(err)
+	_ = all
+}
--- a/cmd/shalebeam/deps_test.go
+++ b/cmd/shalebeam/deps_test.go
@@ -15,7 +15,8 @@
 			t.Fatalf("%v: %s", err, out)
 		}
 		for _, pkg := range strings.Fields(string(out)) {
-			for _, no := range []string{"shalebeam/lab", "gonum.org", "go-toml", "hdrhistogram", "xxhash"} {
+			for _, no := range []string{"shalebeam/lab", "gonum.org", "go-toml", "hdrhistogram", "xxhash",
+				"shalebeam/fleet", "shalebeam/quorum", "shalebeam/agent", "go.etcd.io", "protobuf", "porcupine"} {
 				if strings.Contains(strings.ToLower(pkg), no) {
 					t.Errorf("%s has %s", of, pkg)
 				}
--- /dev/null
+++ b/fleet/record.go
@@ -0,0 +1,399 @@
+// Package fleet decides for the fleet as a whole: what is on record, who acts for all, and what is still to be told to
+// whom. It has no I/O, no clock and no goroutine: its host tells it what happened and when, then pulls decisions. The
+// record is kept by package quorum; agents act on it.
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Form is the newest form of commands and snapshots that this program reads. One that meets a newer form stays as it
+// is: passed over, a command would make two records of one.
+const Form = 1
+
+// Bounds of the record: a caller that sends without end must not fill every voter's memory.
+const (
+	rowsKept     = 1000  // of the audit
+	sessionsKept = 4096  // a command sent again after as many other callers is not known any more
+	mostMembers  = 10000 // schedulers and agents
+	mostWorkers  = 50000
+	mostMatters  = 1000
+	mostName     = 200 // bytes of an id, a zone, a name
+	mostWhy      = 500
+)
+
+// Member is a scheduler or an agent of the fleet.
+type Member struct {
+	ID   string `json:"id"`
+	Kind string `json:"kind"` // scheduler or agent
+	Zone string `json:"zone"`
+	Addr string `json:"addr"` // of a scheduler its second address, of an agent its own
+}
+
+// Matter is what one owner at a time does for all.
+type Matter struct {
+	Owner   string  `json:"owner,omitempty"` // an agent's id and which start of it, "" for none
+	Fence   uint64  `json:"fence"`           // rises at each change of owner and never comes again
+	Term    float64 `json:"term"`            // ms that a claim or renewal holds
+	Renewed uint64  `json:"renewed"`         // the command that last claimed or renewed it
+	Wanted  string  `json:"wanted,omitempty"`
+}
+
+// Intent is what the fleet means to do with a worker.
+type Intent struct {
+	Zone  string `json:"zone"`
+	Out   bool   `json:"out"`
+	Since uint64 `json:"since"` // the command that last changed it
+	By    string `json:"by"`
+	Why   string `json:"why,omitempty"`
+}
+
+// Row is a change, as the audit keeps it.
+type Row struct {
+	No   uint64 `json:"no"`
+	What string `json:"what"`
+	Of   string `json:"of"`
+	By   string `json:"by"`
+	Why  string `json:"why,omitempty"`
+}
+
+// Answer is what came of a command.
+type Answer struct {
+	No    uint64 `json:"no"`   // of the command, in the record's order
+	Done  bool   `json:"done"` // else it was refused, and changed nothing
+	Why   string `json:"why,omitempty"`
+	Fence uint64 `json:"fence,omitempty"`
+}
+
+type session struct {
+	Last   uint64 `json:"last"` // the caller's own number
+	Answer Answer `json:"answer"`
+	At     uint64 `json:"at"`
+}
+
+// Command is one change that is asked for. Caller and Number make it the same one when it is sent again.
+type Command struct {
+	V       int     `json:"v"`
+	Caller  string  `json:"caller"`
+	Number  uint64  `json:"number"`
+	Do      string  `json:"do"` // a key of verbs
+	By      string  `json:"by,omitempty"`
+	Why     string  `json:"why,omitempty"`
+	Member  *Member `json:"member,omitempty"`
+	ID      string  `json:"id,omitempty"` // of a member or a worker
+	Zone    string  `json:"zone,omitempty"`
+	Matter  string  `json:"matter,omitempty"`
+	Owner   string  `json:"owner,omitempty"`
+	Fence   uint64  `json:"fence,omitempty"`
+	Renewed uint64  `json:"renewed,omitempty"`
+	Term    float64 `json:"term,omitempty"`
+	Force   bool    `json:"force,omitempty"`
+}
+
+// Record is the fleet's state after the commands so far. Equal commands in equal order give equal bytes.
+type Record struct {
+	V        int                `json:"v"`
+	No       uint64             `json:"no"`     // of the last command
+	Voters   map[uint64]string  `json:"voters"` // who keeps the record, and where
+	Members  map[string]Member  `json:"members"`
+	Matters  map[string]Matter  `json:"matters"`
+	Workers  map[string]Intent  `json:"workers"`
+	Rows     []Row              `json:"rows"`
+	Sessions map[string]session `json:"sessions"`
+	// Retries counts commands that were sent again and not carried out again.
+	Retries uint64 `json:"retries"`
+}
+
+// NewRecord is the record before any command.
+func NewRecord() *Record {
+	return &Record{V: Form, Voters: map[uint64]string{}, Members: map[string]Member{}, Matters: map[string]Matter{}, Workers: map[string]Intent{},
+		Sessions: map[string]session{}}
+}
+
+// ErrNewer says that a command or snapshot is of a form that this program does not read. Nothing was changed.
+var ErrNewer = errors.New("of a newer form than this program reads")
+
+// verbs has what each command does. It returns why the command is refused, "" where it was carried out, and the fence
+// number that the caller is to know.
+var verbs = map[string]func(r *Record, no uint64, c *Command) (why string, fence uint64){
+	"member": (*Record).member, "unmember": (*Record).unmember,
+	"claim": (*Record).claim, "renew": (*Record).renew, "leave": (*Record).leave, "want": (*Record).want,
+	"out": (*Record).out, "in": (*Record).in,
+}
+
+// Check tells what is wrong with a command before it is sent, nil where nothing is.
+func (c *Command) Check() error {
+	switch {
+	case c.V > Form:
+		return fmt.Errorf("command of form %d: %w", c.V, ErrNewer)
+	case verbs[c.Do] == nil:
+		return fmt.Errorf("do: %q is no command", c.Do)
+	case c.Caller == "" || c.Number == 0:
+		return fmt.Errorf("caller and number are missing")
+	case len(c.Why) > mostWhy:
+		return fmt.Errorf("why: longer than %d bytes", mostWhy)
+	}
+	names := []string{c.Caller, c.By, c.ID, c.Zone, c.Matter, c.Owner}
+	if c.Member != nil {
+		names = append(names, c.Member.ID, c.Member.Kind, c.Member.Zone, c.Member.Addr)
+	}
+	if slices.ContainsFunc(names, func(s string) bool { return len(s) > mostName }) {
+		return fmt.Errorf("a name is longer than %d bytes", mostName)
+	}
+	return nil
+}
+
+// Apply carries out the command with this number. Only ErrNewer is an error: then nothing was applied, nor may anything
+// that follows. What can't be read at all is refused by every voter alike.
+func (r *Record) Apply(no uint64, raw []byte) (Answer, error) {
+	var c Command
+	err := json.Unmarshal(raw, &c)
+	if c.V > Form {
+		return Answer{}, fmt.Errorf("command %d of form %d: %w", no, c.V, ErrNewer)
+	}
+	r.No = no
+	if err == nil {
+		err = c.Check()
+	}
+	if err != nil {
+		return Answer{No: no, Why: err.Error()}, nil
+	}
+	if s, ok := r.Sessions[c.Caller]; ok && c.Number <= s.Last {
+		r.Retries++
+		if c.Number < s.Last {
+			return Answer{No: no, Why: "an older command than the last one of this caller"}, nil
+		}
+		return s.Answer, nil
+	}
+	why, fence := verbs[c.Do](r, no, &c)
+	a := Answer{No: no, Done: why == "", Why: why, Fence: fence}
+	r.remember(c.Caller, session{c.Number, a, no})
+	return a, nil
+}
+
+// remember keeps a caller's last answer. Of too many callers the one that was silent for longest goes.
+func (r *Record) remember(caller string, s session) {
+	if _, ok := r.Sessions[caller]; !ok && len(r.Sessions) >= sessionsKept {
+		oldest, at := "", uint64(0)
+		for name, o := range r.Sessions { // the least of all is the same one in any order
+			if oldest == "" || o.At < at {
+				oldest, at = name, o.At
+			}
+		}
+		delete(r.Sessions, oldest)
+	}
+	r.Sessions[caller] = s
+}
+
+func (r *Record) note(no uint64, what, of string, c *Command) {
+	r.Rows = append(r.Rows, Row{no, what, of, c.By, c.Why})
+	r.Rows = r.Rows[max(0, len(r.Rows)-rowsKept):]
+}
+
+func (r *Record) member(no uint64, c *Command) (string, uint64) {
+	m := c.Member
+	if m == nil || m.ID == "" || m.Zone == "" || m.Addr == "" || m.Kind != "scheduler" && m.Kind != "agent" {
+		return "a member has an id, a kind (scheduler or agent), a zone and an address", 0
+	}
+	for id, o := range r.Members {
+		// Counted under two names it would be told twice, and be two of those that may be out.
+		if o.Addr == m.Addr && id != m.ID {
+			return "another member has this address", 0
+		}
+	}
+	was, known := r.Members[m.ID]
+	switch {
+	case was == *m:
+		return "", 0
+	case known && !c.Force:
+		return "there is a member of this id", 0
+	case len(r.Members) >= mostMembers:
+		return "the record holds no more members", 0
+	}
+	r.Members[m.ID] = *m
+	r.note(no, "member", m.ID, c)
+	return "", 0
+}
+
+func (r *Record) unmember(no uint64, c *Command) (string, uint64) {
+	if _, ok := r.Members[c.ID]; !ok {
+		return "no such member", 0
+	}
+	delete(r.Members, c.ID)
+	r.note(no, "unmember", c.ID, c)
+	return "", 0
+}
+
+// claim gives a matter to a new owner, where nothing has happened to it since the claimant looked. Whether the term of
+// an owner that is still named is over only the leader's clock can tell: see Keeper.
+func (r *Record) claim(no uint64, c *Command) (string, uint64) {
+	m, known := r.Matters[c.Matter]
+	switch {
+	case c.Matter == "" || c.Owner == "" || c.Term <= 0:
+		return "a claim names a matter, an owner and a term", 0
+	case m.Fence != c.Fence || m.Renewed != c.Renewed:
+		return "the matter has changed", m.Fence
+	case !known && len(r.Matters) >= mostMatters:
+		return "the record holds no more matters", 0
+	}
+	m.Owner, m.Fence, m.Term, m.Renewed = c.Owner, m.Fence+1, c.Term, no
+	if m.Wanted == AgentOf(c.Owner) {
+		m.Wanted = ""
+	}
+	r.Matters[c.Matter] = m
+	r.note(no, "owner", c.Matter+" "+c.Owner, c)
+	return "", m.Fence
+}
+
+func (r *Record) renew(no uint64, c *Command) (string, uint64) {
+	m := r.Matters[c.Matter]
+	if c.Owner == "" || m.Owner != c.Owner || m.Fence != c.Fence {
+		return "another owner has it", m.Fence
+	}
+	m.Renewed = no
+	r.Matters[c.Matter] = m
+	return "", m.Fence
+}
+
+func (r *Record) leave(no uint64, c *Command) (string, uint64) {
+	m := r.Matters[c.Matter]
+	if c.Owner == "" || m.Owner != c.Owner || m.Fence != c.Fence {
+		return "another owner has it", m.Fence
+	}
+	m.Owner, m.Renewed = "", no
+	r.Matters[c.Matter] = m
+	r.note(no, "left", c.Matter+" "+c.Owner, c)
+	return "", m.Fence
+}
+
+// want asks an owner to pass a matter on. Its owner does so itself: taken from it, it would act on meanwhile.
+func (r *Record) want(no uint64, c *Command) (string, uint64) {
+	m, known := r.Matters[c.Matter]
+	switch o := r.Members[c.Owner]; {
+	case !known:
+		return "no such matter", 0
+	case o.Kind != "agent":
+		return "no such agent", m.Fence
+	case AgentOf(m.Owner) == c.Owner:
+		return "", m.Fence
+	}
+	m.Wanted = c.Owner
+	r.Matters[c.Matter] = m
+	r.note(no, "wanted", c.Matter+" "+c.Owner, c)
+	return "", m.Fence
+}
+
+func (r *Record) out(no uint64, c *Command) (string, uint64) {
+	w, known := r.Workers[c.ID]
+	switch {
+	case c.ID == "" || c.Zone == "" && !known || c.By == "":
+		return "taking a worker out names it, its zone and who does", 0
+	case !known && len(r.Workers) >= mostWorkers:
+		return "the record holds no more workers", 0
+	case known && c.Zone != "" && c.Zone != w.Zone && w.Out:
+		return "it is out, in zone " + w.Zone, 0
+	case w.Out:
+		return "", 0
+	}
+	if c.Zone != "" {
+		w.Zone = c.Zone
+	}
+	r.Workers[c.ID] = Intent{Zone: w.Zone, Out: true, Since: no, By: c.By, Why: c.Why}
+	r.note(no, "out", c.ID, c)
+	return "", 0
+}
+
+// in puts a worker back. What one person took out another does not put back by mistake.
+func (r *Record) in(no uint64, c *Command) (string, uint64) {
+	w, known := r.Workers[c.ID]
+	switch {
+	case !known:
+		return "this worker was never out", 0
+	case !w.Out:
+		return "", 0
+	case w.By != c.By && !c.Force:
+		return "it was taken out by " + w.By, 0
+	}
+	w.Out, w.Since, w.By, w.Why = false, no, c.By, c.Why
+	r.Workers[c.ID] = w
+	r.note(no, "in", c.ID, c)
+	return "", 0
+}
+
+// SetVoter takes a change of who keeps the record.
+func (r *Record) SetVoter(no, add uint64, addr string, remove uint64) {
+	r.No = no
+	if remove != 0 {
+		delete(r.Voters, remove)
+		r.note(no, "voter", fmt.Sprintf("-%d", remove), &Command{})
+	}
+	if add != 0 {
+		r.Voters[add] = addr
+		r.note(no, "voter", fmt.Sprintf("+%d %s", add, addr), &Command{})
+	}
+}
+
+// Snapshot is the record as bytes: the same ones for equal records.
+func (r *Record) Snapshot() []byte {
+	raw, err := json.Marshal(r) // maps in the order of their keys
+	if err != nil {
+		panic(err) // strings and numbers alone: there is nothing in it that can't be written
+	}
+	return raw
+}
+
+// Restore reads a snapshot. Where that fails the record is as it was.
+func (r *Record) Restore(raw []byte) error {
+	n := NewRecord()
+	if err := json.Unmarshal(raw, n); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	if n.V > Form {
+		return fmt.Errorf("snapshot of form %d: %w", n.V, ErrNewer)
+	}
+	*r = *n
+	return nil
+}
+
+// OutIn lists the workers that are out, of one zone or of all ("").
+func (r *Record) OutIn(zone string) (ids []string) {
+	for id, w := range r.Workers {
+		if w.Out && (zone == "" || w.Zone == zone) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Of lists the members of a kind, by id.
+func (r *Record) Of(kind string) (all []Member) {
+	for _, m := range r.Members {
+		if m.Kind == kind {
+			all = append(all, m)
+		}
+	}
+	slices.SortFunc(all, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// OwnerOf names one start of an agent: one that was started again knows nothing of what it held, and is another owner.
+func OwnerOf(agent, start string) string { return agent + "#" + start }
+
+// AgentOf is the agent of an owner.
+func AgentOf(owner string) string {
+	agent, _, _ := strings.Cut(owner, "#")
+	return agent
+}
+
+// MatterOf names the matter of a zone's workers.
+func MatterOf(zone string) string { return "zone/" + zone }
--- /dev/null
+++ b/fleet/teller.go
@@ -0,0 +1,221 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+)
+
+const (
+	lookEach = 1000.0 // how soon a scheduler that was started again is seen
+	tryFirst = 100.0  // after a call that did not come through, then twice as long each time
+	tryMost  = 2000.0
+)
+
+// Act is what a call does at a scheduler.
+type Act int
+
+const (
+	Look  Act = iota // which start it is, which number is in force there
+	Close            // the number of the owner before is taken no more
+	Tell             // one worker is out, or in again
+)
+
+// Call is one to make at a scheduler. It is meant for one start of it, and carries the owner's number.
+type Call struct {
+	To     Member
+	Act    Act
+	Matter string
+	Fence  uint64
+	Start  string
+	Worker string
+	Out    bool
+	Since  uint64
+}
+
+// Reply is what came of a call.
+type Reply struct {
+	Reached bool   // else it may have come or not
+	Done    bool   // the scheduler said yes
+	Start   string // of the scheduler that answered
+	Fence   uint64 // in force there
+	Out     []string
+	Why     string
+}
+
+type target struct {
+	Member
+	start  string
+	closed bool
+	told   map[string]uint64 // by worker: the change that it said yes to
+	out    map[string]bool   // those that were out there when it was last looked at
+	busy   bool
+	at     float64 // when to call next
+	lookAt float64
+	fails  int
+	why    string // why it refused, or why it was not reached
+	seen   bool
+}
+
+// Teller is what the owner of a zone's matter knows of the schedulers that it keeps told who is out.
+type Teller struct {
+	Matter  string
+	Fence   uint64
+	Passed  uint64 // a higher number that a scheduler named: this owner is none any more
+	targets map[string]*target
+	intents map[string]Intent
+}
+
+// NewTeller begins with nothing known: whatever a predecessor did is looked up at each scheduler.
+func NewTeller(matter string, fence uint64) *Teller {
+	return &Teller{Matter: matter, Fence: fence, targets: map[string]*target{}, intents: map[string]Intent{}}
+}
+
+// Follow takes the schedulers, and what is intended for the zone's workers, as the record now has them.
+func (t *Teller) Follow(schedulers []Member, workers map[string]Intent, zone string) {
+	here := map[string]bool{}
+	for _, m := range schedulers {
+		here[m.ID] = true
+		if o := t.targets[m.ID]; o == nil || o.Member != m {
+			t.targets[m.ID] = &target{Member: m, told: map[string]uint64{}}
+		}
+	}
+	maps.DeleteFunc(t.targets, func(id string, _ *target) bool { return !here[id] })
+	clear(t.intents)
+	for id, w := range workers {
+		if w.Zone == zone {
+			t.intents[id] = w
+		}
+	}
+}
+
+// owed is the first worker that a scheduler is still to be told of.
+func (t *Teller) owed(o *target) (string, bool) {
+	for _, id := range slices.Sorted(maps.Keys(t.intents)) {
+		w := t.intents[id]
+		// What is in use need not be told to one that has it in use.
+		if o.told[id] != w.Since && (w.Out || o.told[id] > 0 || o.out[id]) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// Next decides the next call. One scheduler has one call at a time, so that no older one overtakes.
+func (t *Teller) Next(now float64) (Call, bool) {
+	if t.Passed > 0 {
+		return Call{}, false
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
+		o := t.targets[id]
+		if o.busy || now < o.at {
+			continue
+		}
+		c := Call{To: o.Member, Matter: t.Matter, Fence: t.Fence, Start: o.start}
+		switch worker, owes := t.owed(o); {
+		case o.start == "" || now >= o.lookAt:
+			c.Act, c.Start = Look, ""
+		case !o.closed:
+			c.Act = Close
+		case owes:
+			w := t.intents[worker]
+			c.Act, c.Worker, c.Out, c.Since = Tell, worker, w.Out, w.Since
+		default:
+			continue
+		}
+		o.busy = true
+		return c, true
+	}
+	return Call{}, false
+}
+
+// Answered takes what came of a call.
+func (t *Teller) Answered(now float64, c Call, r Reply) {
+	o := t.targets[c.To.ID]
+	if o == nil || o.Member != c.To {
+		return
+	}
+	o.busy = false
+	if !r.Reached {
+		// It may have come through, and is sent again as it was: a yes twice is one.
+		o.fails++
+		o.at = now + min(tryFirst*float64(int(1)<<min(o.fails-1, 10)), tryMost)
+		o.why = r.Why
+		return
+	}
+	o.fails, o.at, o.why, o.seen = 0, now, "", true
+	if r.Fence > t.Fence {
+		t.Passed = r.Fence
+		return
+	}
+	if r.Start != o.start {
+		// Started again from nothing: what its former life said yes to counts no more.
+		o.start, o.closed = r.Start, false
+		clear(o.told)
+	}
+	switch {
+	case !r.Done:
+		o.why, o.lookAt, o.at = r.Why, now, now+tryFirst
+	case c.Act == Look:
+		o.lookAt, o.out = now+lookEach, map[string]bool{}
+		for _, id := range r.Out {
+			o.out[id] = true
+		}
+		if r.Fence < t.Fence {
+			o.closed = false
+		}
+	case c.Start != o.start:
+	case c.Act == Close:
+		o.closed = true
+	case c.Act == Tell:
+		o.told[c.Worker] = c.Since
+		o.out[c.Worker] = c.Out
+	}
+}
+
+// Wake is when to pull again if nothing happens before.
+func (t *Teller) Wake(now float64) float64 {
+	at := now + lookEach
+	for _, o := range t.targets {
+		if !o.busy {
+			at = min(at, max(o.at, min(o.lookAt, at)))
+		}
+	}
+	return at
+}
+
+// State is how one scheduler stands to a change.
+type State string
+
+const (
+	Obeyed     State = "obeyed"
+	Refused    State = "refused"
+	NotReached State = "not reached"
+	Unknown    State = "unknown" // it answers, and has not said yes yet
+)
+
+// Standing is one row of who obeyed.
+type Standing struct {
+	ID    string `json:"id"`
+	State State  `json:"state"`
+	Why   string `json:"why,omitempty"`
+}
+
+// Told lists how each scheduler stands to what is now intended for a worker. A scheduler that is a member and does not
+// answer is not known to be gone: what it was told last may be the opposite.
+func (t *Teller) Told(worker string) (rows []Standing) {
+	w := t.intents[worker]
+	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
+		o := t.targets[id]
+		s := Standing{ID: id, State: Unknown, Why: o.why}
+		switch {
+		case o.closed && o.fails == 0 && (o.told[worker] == w.Since || !w.Out && o.told[worker] == 0 && !o.out[worker]):
+			s.State = Obeyed
+		case o.fails > 0 || !o.seen:
+			s.State = NotReached
+		case o.why != "":
+			s.State = Refused
+		}
+		rows = append(rows, s)
+	}
+	return rows
+}
--- /dev/null
+++ b/fleet/terms.go
@@ -0,0 +1,90 @@
+package fleet
+
+// An owner must have stopped before the next one begins, though neither sees the other's clock. Both count in spans of
+// their own monotonic clock: the owner from before its renewal went out and less than the whole term, the leader from
+// when the renewal stood in the record and more than the whole. A clock may be off by up to a tenth of its rate for
+// that: 0.8 of a term by a clock that is a tenth slow are 0.89, 1.2 by one that is a tenth fast are 1.09.
+const (
+	ownerPart  = 0.8
+	leaderPart = 1.2
+)
+
+// Hold is an owner's own knowledge of a matter that it has.
+type Hold struct {
+	Fence  uint64
+	Term   float64
+	until  float64
+	askAt  float64 // when the renewal that is under way went out
+	asking bool
+}
+
+// Held begins a hold by a claim that went out at asked and was carried out.
+func Held(asked float64, fence uint64, term float64) *Hold {
+	return &Hold{Fence: fence, Term: term, until: asked + ownerPart*term, askAt: asked}
+}
+
+// Holds tells whether the owner may act now. It is asked before each action, and after each wait.
+func (h *Hold) Holds(now float64) bool { return h != nil && now < h.until }
+
+// Until is when it has to stop.
+func (h *Hold) Until() float64 { return h.until }
+
+// NextRenewal decides whether to renew now: three times in a term, so that one lost call is none.
+func (h *Hold) NextRenewal(now float64) bool {
+	if h.asking || now < h.askAt+h.Term/4 {
+		return false
+	}
+	h.asking, h.askAt = true, now
+	return true
+}
+
+// Renewed tells what came of the renewal: it holds from when it was asked for, whenever the answer came.
+func (h *Hold) Renewed(done bool) {
+	if h.asking = false; done {
+		h.until = max(h.until, h.askAt+ownerPart*h.Term)
+	}
+}
+
+// Keeper is the leader's knowledge of how old each claim is. It counts only what it saw itself as leader: a new one
+// waits for a whole term, as it can't know when its predecessor last let an owner renew.
+type Keeper struct {
+	leads bool
+	ledAt float64
+	seen  map[string]float64
+}
+
+// Leads tells that this process leads from now on.
+func (k *Keeper) Leads(now float64) { *k = Keeper{leads: true, ledAt: now, seen: map[string]float64{}} }
+
+// Follows tells that it does not lead any more.
+func (k *Keeper) Follows() { *k = Keeper{} }
+
+// Applied takes that a claim or renewal of a matter was carried out.
+func (k *Keeper) Applied(now float64, matter string) {
+	if k.leads {
+		k.seen[matter] = now
+	}
+}
+
+// Over decides whether the term of a matter's owner is over, so that another's claim may go on the record.
+func (k *Keeper) Over(now float64, matter string, m Matter) bool {
+	if !k.leads {
+		return false
+	}
+	if m.Owner == "" {
+		return true
+	}
+	return now >= max(k.ledAt, k.seen[matter])+leaderPart*m.Term
+}
+
+// MayPropose decides whether the leader takes a command at all: a claim of a matter that another still has is refused
+// with the reason, all else is the record's to judge.
+func (k *Keeper) MayPropose(now float64, r *Record, c *Command) string {
+	if c.Do != "claim" {
+		return ""
+	}
+	if m := r.Matters[c.Matter]; m.Owner != "" && !k.Over(now, c.Matter, m) {
+		return "the term of " + m.Owner + " is not over"
+	}
+	return ""
+}
--- /dev/null
+++ b/quorum/quorum_test.go
@@ -0,0 +1,417 @@
+package quorum
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"shalebeam/fleet"
+)
+
+// memory is a disk in memory: what was not synced is lost at a crash, and a lying sync keeps nothing.
+type memory struct {
+	files map[string]*memFile
+	lies  bool
+	fails error
+}
+
+type memFile struct {
+	d          *memory
+	kept, wait []byte
+}
+
+func newMemory() *memory { return &memory{files: map[string]*memFile{}} }
+
+func (d *memory) Read(name string) ([]byte, error) {
+	if f := d.files[name]; f != nil {
+		return append(append([]byte{}, f.kept...), f.wait...), nil
+	}
+	return nil, os.ErrNotExist
+}
+
+func (d *memory) Create(name string) (File, error) {
+	d.files[name] = &memFile{d: d}
+	return d.files[name], nil
+}
+
+func (d *memory) Append(name string) (File, error) {
+	if f := d.files[name]; f != nil {
+		return f, nil
+	}
+	return nil, os.ErrNotExist
+}
+
+func (d *memory) Rename(from, to string) error {
+	d.files[to] = d.files[from]
+	delete(d.files, from)
+	return nil
+}
+
+func (f *memFile) Write(b []byte) (int, error) {
+	f.wait = append(f.wait, b...)
+	return len(b), nil
+}
+
+func (f *memFile) Sync() error {
+	if f.d.fails != nil {
+		return f.d.fails
+	}
+	if !f.d.lies {
+		f.kept, f.wait = append(f.kept, f.wait...), nil
+	}
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
+
+// crash loses what was not kept, but for some bytes of it.
+func (d *memory) crash(r *rand.Rand) {
+	for _, f := range d.files {
+		if len(f.wait) > 0 && r.IntN(2) == 0 {
+			f.kept = append(f.kept, f.wait[:r.IntN(len(f.wait))]...)
+		}
+		f.wait = nil
+	}
+	d.lies = false
+}
+
+func (d *memory) copy() *memory {
+	c := newMemory()
+	for name, f := range d.files {
+		c.files[name] = &memFile{d: c, kept: append([]byte{}, f.kept...)}
+	}
+	return c
+}
+
+func command(of string, number uint64, do, worker string) []byte {
+	raw, _ := json.Marshal(fleet.Command{V: 1, Caller: of, Number: number, Do: do, ID: worker, Zone: "a", By: of})
+	return raw
+}
+
+// set is a few voters in simulated time.
+type set struct {
+	t     testing.TB
+	r     *rand.Rand
+	now   float64
+	first map[uint64]string
+	disks map[uint64]*memory
+	nodes map[uint64]*Node
+	cut   map[[2]uint64]bool
+	post  []Letter
+	loss  float64
+	done  map[string]fleet.Answer
+	errs  map[uint64]error
+	turn  uint64
+}
+
+func newSet(t testing.TB, n int, seed uint64) *set {
+	s := &set{t: t, r: rand.New(rand.NewPCG(seed, 1)), first: map[uint64]string{}, disks: map[uint64]*memory{},
+		nodes: map[uint64]*Node{}, cut: map[[2]uint64]bool{}, done: map[string]fleet.Answer{}, errs: map[uint64]error{}}
+	for i := range uint64(n) {
+		s.first[i+1] = fmt.Sprint("v", i+1)
+		s.disks[i+1] = newMemory()
+	}
+	for id := range s.first {
+		s.start(id, false)
+	}
+	return s
+}
+
+func (s *set) start(id uint64, join bool) {
+	s.turn++
+	n, err := Open(Options{ID: id, Voters: s.first, Join: join, Disk: s.disks[id], Start: s.turn})
+	if delete(s.nodes, id); err != nil {
+		s.errs[id] = err
+		return
+	}
+	delete(s.errs, id)
+	s.nodes[id] = n
+}
+
+func (s *set) kill(id uint64) {
+	delete(s.nodes, id)
+	s.disks[id].crash(s.r)
+}
+
+// step is one tick of all and what follows from it.
+func (s *set) step() {
+	s.now += 50
+	for id := uint64(1); id < 10; id++ {
+		if n := s.nodes[id]; n != nil {
+			s.errs[id] = n.Tick()
+		}
+	}
+	for range 4 {
+		old := s.post
+		s.post = nil
+		for _, l := range old {
+			if n := s.nodes[l.To]; n != nil && !s.cut[[2]uint64{l.From, l.To}] && s.r.Float64() >= s.loss {
+				_ = n.Step(s.now, l)
+			}
+		}
+		for id := uint64(1); id < 10; id++ {
+			n := s.nodes[id]
+			if n == nil {
+				continue
+			}
+			if err := n.Work(s.now); err != nil {
+				s.errs[id] = err
+			}
+			for l, ok := n.NextLetter(); ok; l, ok = n.NextLetter() {
+				s.post = append(s.post, l)
+			}
+			for d, ok := n.NextDone(); ok; d, ok = n.NextDone() {
+				if n.leads {
+					s.done[fmt.Sprint(d.Caller, d.Number)] = d.Answer
+				}
+			}
+		}
+	}
+}
+
+func (s *set) leader() *Node {
+	for id := uint64(1); id < 10; id++ {
+		if n := s.nodes[id]; n != nil && n.leads && n.err == nil {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *set) until(what string, ok func() bool) {
+	s.t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		s.step()
+	}
+	s.t.Fatalf("not in 100 s: %s; %v", what, s.errs)
+}
+
+func (s *set) change(of string, number uint64, do, worker string) fleet.Answer {
+	s.t.Helper()
+	key := fmt.Sprint(of, number)
+	s.until("a command", func() bool {
+		if l := s.leader(); l != nil {
+			_ = l.Propose(s.now, command(of, number, do, worker))
+		}
+		s.step()
+		_, ok := s.done[key]
+		return ok
+	})
+	return s.done[key]
+}
+
+// All voters killed at once, one replaced for good, a command sent again at another leader: nothing answered is lost, nor
+// carried out twice.
+func TestRecordOutlivesItsVoters(t *testing.T) {
+	s := newSet(t, 3, 1)
+	s.change("ann", 1, "out", "w1")
+	for id := range s.first {
+		s.kill(id)
+	}
+	for id := range s.first {
+		s.start(id, false)
+	}
+	s.until("a leader", func() bool { return s.leader() != nil })
+	a := s.change("ann", 1, "out", "w1") // its answer was lost
+	if l := s.leader(); !a.Done || !l.Record.Workers["w1"].Out || l.Record.Retries != 1 {
+		t.Errorf("%+v, %d carried out again", a, l.Record.Retries)
+	}
+	// One is gone for good, and a new one joins under its own number.
+	gone := s.leader().o.ID%3 + 1
+	s.kill(gone)
+	s.disks[4] = newMemory()
+	s.until("a leader", func() bool { return s.leader() != nil })
+	if err := s.leader().ProposeVoters(4, "v4", gone); err != nil {
+		t.Fatal(err)
+	}
+	s.start(4, true)
+	s.until("the new voter", func() bool { return s.nodes[4].Record.Workers["w1"].Out })
+	s.change("bob", 1, "in", "w1")
+	s.until("all the same", func() bool {
+		want := string(s.leader().Record.Snapshot())
+		for _, n := range s.nodes {
+			if string(n.Record.Snapshot()) != want {
+				return false
+			}
+		}
+		return len(s.nodes) == 3
+	})
+	if v := s.leader().Record.Voters; v[4] != "v4" || v[gone] != "" {
+		t.Errorf("voters %v", v)
+	}
+}
+
+// A leader that is cut off with nobody answers nothing: neither a change nor a read.
+func TestMinorityAnswersNothing(t *testing.T) {
+	s := newSet(t, 3, 2)
+	s.change("ann", 1, "out", "w1")
+	old := s.leader()
+	for id := range s.first {
+		s.cut[[2]uint64{id, old.o.ID}], s.cut[[2]uint64{old.o.ID, id}] = true, true
+	}
+	_ = old.Read("r")
+	_ = old.Propose(s.now, command("bob", 1, "in", "w1"))
+	for range 60 {
+		s.step()
+		if key, ok := old.NextRead(); ok {
+			t.Fatalf("read %s was answered", key)
+		}
+	}
+	if _, ok := s.done["bob1"]; ok || old.leads || !errors.Is(old.Propose(s.now, command("bob", 1, "in", "w1")), ErrNotLeader) {
+		t.Error("a change in a minority")
+	}
+	s.change("cid", 1, "out", "w2")
+	clear(s.cut)
+	s.until("the old leader follows", func() bool { return old.Record.Workers["w2"].Out })
+}
+
+// A disk that lied, an older copy put back, a folder wiped: the voter does not vote again on it, and says so. A torn tail
+// is cut off; a record that rots in the middle stops it.
+func TestDisksThatLie(t *testing.T) {
+	for name, spoil := range map[string]func(s *set, id uint64){
+		"sync lied": func(s *set, id uint64) {
+			s.disks[id].lies = true
+			s.change("bob", 1, "out", "w2")
+			s.until("acknowledged", func() bool { return s.nodes[id].Record.Workers["w2"].Out })
+			s.kill(id)
+		},
+		"older copy": func(s *set, id uint64) {
+			old := s.disks[id].copy()
+			s.change("bob", 1, "out", "w2")
+			s.until("acknowledged", func() bool { return s.nodes[id].Record.Workers["w2"].Out })
+			s.kill(id)
+			s.disks[id] = old
+		},
+		"wiped": func(s *set, id uint64) {
+			s.kill(id)
+			s.disks[id] = newMemory()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSet(t, 3, 3)
+			s.change("ann", 1, "out", "w1")
+			id := s.leader().o.ID%3 + 1
+			spoil(s, id)
+			s.start(id, false)
+			s.until("it is found out", func() bool { return errors.Is(s.errs[id], ErrBehind) })
+			if n := s.nodes[id]; n.counts || !errors.Is(n.Read("r"), ErrBehind) {
+				t.Error("it counts, or answers")
+			}
+			s.change("cid", 1, "in", "w1") // the others go on
+		})
+	}
+	s := newSet(t, 3, 4)
+	s.change("ann", 1, "out", "w1")
+	id := s.leader().o.ID%3 + 1
+	f := s.disks[id].files[logName]
+	s.kill(id)
+	f.kept = append(f.kept, 0, 0, 0, 9, 1, 2, 3)
+	if s.start(id, false); s.nodes[id] == nil || s.nodes[id].Cut != 7 {
+		t.Fatal("a torn tail")
+	}
+	s.until("it counts", func() bool { return s.nodes[id].counts })
+	s.kill(id)
+	f = s.disks[id].files[logName]
+	f.kept[len(f.kept)/3] ^= 4
+	if s.start(id, false); !errors.Is(s.errs[id], ErrRotten) {
+		t.Errorf("rot in the middle: %v", s.errs[id])
+	}
+	// A sync that fails ends the voter: what its disk holds is not known.
+	s = newSet(t, 3, 5)
+	s.change("ann", 1, "out", "w1")
+	id = s.leader().o.ID
+	s.disks[id].fails = errors.New("EIO")
+	_ = s.nodes[id].Propose(s.now, command("bob", 1, "out", "w2"))
+	s.until("it stops", func() bool { return s.errs[id] != nil })
+	s.change("cid", 1, "out", "w3")
+}
+
+// A claim of what another has is not taken before its term is over, nor by a new leader before a whole term.
+func TestClaimsWaitForTheTerm(t *testing.T) {
+	s := newSet(t, 3, 6)
+	claim := func(owner string, number, fence, renewed uint64) fleet.Answer {
+		raw, _ := json.Marshal(fleet.Command{V: 1, Caller: owner, Number: number, Do: "claim", Matter: "m", Owner: owner,
+			Fence: fence, Renewed: renewed, Term: 3000})
+		key := fmt.Sprint(owner, number)
+		delete(s.done, key)
+		s.until("a claim", func() bool {
+			if l := s.leader(); l != nil {
+				_ = l.Propose(s.now, raw)
+			}
+			s.step()
+			_, ok := s.done[key]
+			return ok
+		})
+		return s.done[key]
+	}
+	if a := claim("a#1", 1, 0, 0); !a.Done {
+		t.Fatal(a)
+	}
+	m := s.leader().Record.Matters["m"]
+	began := s.now
+	for range 40 {
+		s.step()
+	}
+	s.kill(s.leader().o.ID)
+	s.until("a new leader", func() bool { return s.leader() != nil })
+	led := s.now
+	for number := uint64(1); ; number++ {
+		a := claim("b#1", number, m.Fence, m.Renewed)
+		if a.Done {
+			break
+		}
+		s.step()
+	}
+	if s.now < led+1.2*3000-200 || s.now < began+3600 {
+		t.Errorf("claimed %g ms after the new leader came, %g after the old claim", s.now-led, s.now-began)
+	}
+}
+
+// The log reads back what was written, whatever byte it ends at, and takes no torn record as whole.
+func TestLogAtAnyByte(t *testing.T) {
+	d := newMemory()
+	l, _, _ := openLog(d)
+	if err := l.anew(&pb.Snapshot{Data: []byte("x")}, nil, nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	base := len(d.files[logName].kept)
+	var ends []int
+	for i := range uint64(6) {
+		if err := l.add(nil, []*pb.Entry{{Index: proto.Uint64(i + 1), Term: proto.Uint64(1), Data: []byte(fmt.Sprint(i))}}, nil, true); err != nil {
+			t.Fatal(err)
+		}
+		ends = append(ends, len(d.files[logName].kept))
+	}
+	whole := d.files[logName].kept
+	for cut := base; cut <= len(whole); cut++ {
+		c := newMemory()
+		c.files[logName] = &memFile{d: c, kept: whole[:cut]}
+		_, k, err := openLog(c)
+		want := 0
+		for _, e := range ends {
+			if e <= cut {
+				want++
+			}
+		}
+		if err != nil || len(k.entries) != want {
+			t.Fatalf("cut at %d: %v, %d entries, want %d", cut, err, len(k.entries), want)
+		}
+	}
+	for at := base; at < ends[4]; at++ { // a flipped bit before the last record is rot, never another record
+		c := newMemory()
+		c.files[logName] = &memFile{d: c, kept: append([]byte{}, whole...)}
+		c.files[logName].kept[at] ^= 16
+		if _, _, err := openLog(c); !errors.Is(err, ErrRotten) {
+			t.Fatalf("a bit flipped at %d: %v", at, err)
+		}
+	}
+}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"os"
@@ -303,11 +304,14 @@
 type record struct {
 	Since float64 `json:"since"`
 	Back  float64 `json:"back,omitempty"`
+	Fleet string  `json:"fleet,omitempty"` // the matter by which the fleet took it out, "" where staff did
 }
 
 type records struct {
 	Shalebeam string            `json:"shalebeam"` // tells the file from others
 	Workers   map[string]record `json:"workers"`
+	Start     string            `json:"start,omitempty"`  // of the scheduler that wrote it last
+	Fences    map[string]uint64 `json:"fences,omitempty"` // see fleet
 }
 
 const recordsForm = "workers out, 1"
@@ -338,32 +342,41 @@
 		h.s.log.Printf("msg=malformed from=%s err=%q", h.path, err)
 		return
 	}
-	for id, r := range all {
+	for id, r := range all.Workers {
 		h.s.ops.set(id, r) // each is apart from the others, so any order does
 	}
+	f := &h.s.ops.fleet
+	for m, n := range all.Fences {
+		f.numbers[m] = max(f.numbers[m], n)
+	}
+	if h.others > 0 && all.Start != "" {
+		f.start = all.Start // both are one start; alone, what a former one left says only what it knew
+	}
 }
 
-func (h *handover) load() (map[string]record, error) {
+func (h *handover) load() (*records, error) {
+	in := &records{Shalebeam: recordsForm, Workers: map[string]record{}}
 	raw, err := os.ReadFile(h.path)
 	if os.IsNotExist(err) {
-		return map[string]record{}, nil
+		return in, nil
 	}
 	if err != nil {
 		return nil, err
 	}
-	var in records
-	if err := json.Unmarshal(raw, &in); err != nil {
+	*in = records{}
+	if err := json.Unmarshal(raw, in); err != nil {
 		return nil, err
 	}
 	if in.Shalebeam != recordsForm || in.Workers == nil {
 		return nil, fmt.Errorf("not a file of who is out")
 	}
-	return in.Workers, nil
+	return in, nil
 }
 
-// keep writes a change of who is out, whole, before anybody is told that it holds.
-func (h *handover) keep(id string, r record) error {
+// keep writes a change of who is out, whole, before anybody is told that it holds. What change refuses is not written.
+func (h *handover) keep(change func(in *records) bool) error {
 	if h.lock == nil {
+		change(&records{Workers: maps.Clone(h.s.ops.staffed)})
 		return nil
 	}
 	for tries := 0; !h.take(mayWrite); tries++ { // the other one writes a few hundred bytes
@@ -375,21 +388,24 @@
 	defer h.drop(mayWrite)
 	all, err := h.load()
 	if err != nil {
-		all = map[string]record{}
+		all = &records{Workers: map[string]record{}}
 	}
 	now := h.s.now()
 	for id, o := range h.s.ops.staffed {
-		if all[id].at() < o.at() {
-			all[id] = o
+		if all.Workers[id].at() < o.at() {
+			all.Workers[id] = o
 		}
 	}
-	all[id] = r
-	for id, o := range all {
+	all.Shalebeam, all.Start, all.Fences = recordsForm, h.s.ops.fleet.start, h.known(all.Fences)
+	if !change(all) {
+		return nil
+	}
+	for id, o := range all.Workers {
 		if o.Back > 0 && now > o.Back+keptOut {
-			delete(all, id)
+			delete(all.Workers, id)
 		}
 	}
-	raw, err := json.Marshal(records{recordsForm, all})
+	raw, err := json.Marshal(all)
 	if err != nil {
 		return err
 	}
@@ -403,6 +419,18 @@
 	return nil
 }
 
+// known puts the numbers that this process has seen among those of the file.
+func (h *handover) known(in map[string]uint64) map[string]uint64 {
+	out := maps.Clone(in)
+	if out == nil {
+		out = map[string]uint64{}
+	}
+	for m, n := range h.s.ops.fleet.numbers {
+		out[m] = max(out[m], n)
+	}
+	return out
+}
+
 // out tells whether the worker is out by this record.
 func (r record) out() bool { return r.Since > 0 && r.Back == 0 }
 
--- a/scheduler/node.go
+++ b/scheduler/node.go
@@ -17,7 +17,8 @@
 	Name       string   `json:"name"`
 	Listen     string   `json:"listen"`
 	Discovery  string   `json:"discovery"`
-	Mgmt       string   `json:"mgmt"` // the second address, for staff; without one there is none
+	Mgmt       string   `json:"mgmt"`  // the second address, for staff; without one there is none
+	Agent      string   `json:"agent"` // of this machine's agent, which knows who is out; without one nobody is asked
 	Seed       string   `json:"seed"`
 	Limits     Limits   `json:"limits"`
 	PeerListen string   `json:"peer_listen"`
@@ -104,7 +105,7 @@
 		name, addr string
 		must       bool
 	}{{"listen", n.Listen, true}, {"discovery", n.Discovery, true}, {"peer_listen", n.PeerListen, false},
-		{"peers_all", n.PeersAll, false}} {
+		{"peers_all", n.PeersAll, false}, {"agent", n.Agent, false}} {
 		if a.addr == "" && !a.must {
 			continue
 		}
--- a/scheduler/ops.go
+++ b/scheduler/ops.go
@@ -24,7 +24,8 @@
 	s       *Scheduler
 	addr    string
 	all     []*caller         // the one that came first in front
-	staffed map[string]record // workers that staff took out, now or lately
+	staffed map[string]record // workers that staff or the fleet took out, now or lately
+	fleet   fleet
 }
 
 // caller is a connection to it.
@@ -36,7 +37,10 @@
 	ends  bool // the call has come
 }
 
-func (o *ops) init(s *Scheduler) { *o = ops{s: s, staffed: map[string]record{}} }
+func (o *ops) init(s *Scheduler) {
+	*o = ops{s: s, staffed: map[string]record{}}
+	o.fleet.init()
+}
 
 func (o *ops) open() (err error) {
 	if o.s.node.Mgmt != "" {
@@ -142,7 +146,21 @@
 // call carries out one call.
 func (o *ops) call(q *http1.Request) (status int, body string) {
 	path, _, _ := strings.Cut(q.Target, "?")
+	by, err := fencedBy(q)
+	if err != nil {
+		return 400, err.Error() + "\n"
+	}
 	switch path {
+	case "/ops/fence":
+		switch {
+		case q.Method == "GET":
+			return 200, o.known()
+		case q.Method != "POST":
+			return 405, "GET or POST\n"
+		case by == nil:
+			return 400, "fleet-fence is missing\n"
+		}
+		return o.fence(by)
 	case "/ops/readiness":
 		switch {
 		case q.Method != "GET" && q.Method != "HEAD":
@@ -161,25 +179,37 @@
 		return 405, "POST only\n"
 	case id == "":
 		return 400, "the body is to be a worker's id\n"
-	case o.s.pool.target(id) == nil && !o.staffed[id].out():
+	case by == nil && o.s.pool.target(id) == nil && !o.staffed[id].out():
 		return 404, "no such worker\n"
 	}
-	r, now := o.staffed[id], o.s.now()
-	switch out := path == "/ops/workers/down"; {
-	case out == r.out():
-		return 200, "so already\n"
-	case out:
-		r = record{Since: now}
-	default:
-		r.Back = now
-	}
-	if err := o.s.handover.keep(id, r); err != nil {
-		// Not kept it would be forgotten over an upgrade, after a yes.
-		o.s.log.Printf("msg=worker id=%q state=refused err=%q", id, err)
-		return 503, "it could not be kept\n"
+	var r record
+	status, body = o.change(by, func(in *records) (int, string) {
+		r = in.Workers[id]
+		matter, now := "", o.s.now()
+		if by != nil {
+			matter = by.matter
+		}
+		switch out := path == "/ops/workers/down"; {
+		case out == r.out():
+			return 200, "so already\n"
+		case out && r.Since == 0 && len(in.Workers) >= mostStaffed:
+			return 503, "no room for one more worker\n"
+		case out:
+			r = record{Since: now, Fleet: matter}
+		case r.Fleet != matter && r.Fleet != "":
+			return 409, "the fleet took it out: " + r.Fleet + "\n"
+		case r.Fleet != matter:
+			return 409, "staff took it out here\n"
+		default:
+			r.Back = now
+		}
+		in.Workers[id] = r
+		return 200, "done\n"
+	})
+	if status == 200 {
+		o.set(id, r)
 	}
-	o.set(id, r)
-	return 200, "done\n"
+	return status, body
 }
 
 // set takes what staff did with a worker, here or at another process, where it is newer than what is known.
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -99,6 +99,7 @@
 	}
 	s.handover.enter()
 	s.handover.bound()
+	s.ops.ask()
 	defer func() {
 		if s.loop == nil {
 			close(s.ready) // nobody waits for a loop that there never was
