--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,7 @@
 	host  *quorum.Host // nil: not a voter
 	http  *http.Client
 	start string
+	bug   string // one planted, in a build with the tag faults alone
 	owner string
 	addr  string
 
@@ -69,7 +70,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	start := strconv.FormatUint(rand.Uint64()>>32, 16)
-	a := &Agent{file: f, log: l, clock: quorum.NewClock(), http: NewHTTP(f.Via, callMost), start: start,
+	a := &Agent{file: f, log: l, clock: quorum.NewClock(), http: NewHTTP(f.Via, callMost), start: start, bug: bug,
 		owner: fleet.OwnerOf(f.Name, start), rec: fleet.NewRecord(), absent: map[string]bool{},
 		duty: fleet.NewDuty(f.Name, start, float64(f.Term)/1e6), has: map[string]*charge{}, heard: map[string]float64{},
 		asking: map[string]bool{}}
@@ -78,6 +79,9 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	a.addr = listener.Addr().String()
+	if bug == "wall-clock" {
+		a.clock = quorum.WallClock()
+	}
 	dead := make(<-chan struct{})
 	if v := f.voter(); v != nil {
 		disk, err := quorum.Folder(f.Data)
@@ -285,6 +289,7 @@
 			a.log.Info("matter owned", "matter", c.Matter, "fence", got.Fence)
 			a.has[c.Matter] = &charge{zone: zone, hold: fleet.Held(asked, got.Fence, c.Term),
 				teller: fleet.NewTeller(c.Matter, got.Fence)}
+			a.has[c.Matter].teller.Bug = a.bug
 		})
 	}
 	if c, ok := a.duty.NextPass(now, a.rec, a.absent); ok && !a.asking[c.Matter] {
@@ -315,6 +320,7 @@
 	a.mu.Unlock()
 	ctx, stop := context.WithTimeout(ctx, min(callMost, left))
 	defer stop()
+	a.log.Debug("calls", "scheduler", call.To.ID, "act", int(call.Act), "matter", call.Matter, "fence", call.Fence)
 	r := a.tell(ctx, call)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/cmd/beamagent/main.go
+++ b/cmd/beamagent/main.go
@@ -31,7 +31,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return agent.Run(ctx, f, c.TrustDisk, bug(), slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return agent.Run(ctx, f, c.TrustDisk, bug(), slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level()})))
 }
 
 type check struct{ file }
--- a/cmd/beamagent/planted.go
+++ b/cmd/beamagent/planted.go
@@ -2,6 +2,12 @@
 
 package main
 
-import "os"
+import (
+	"log/slog"
+	"os"
+)
 
 func bug() string { return os.Getenv("SHALEBEAM_BUG") }
+
+// level has each call logged: the lab judges by it when an owner acted.
+func level() slog.Level { return slog.LevelDebug }
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -106,6 +106,8 @@
 	Sessions map[string]session `json:"sessions"`
 	// Retries counts commands that were sent again and not carried out again.
 	Retries uint64 `json:"retries"`
+	// Bug is one planted by a test of what finds it, "" in any other use.
+	Bug string `json:"-"`
 }
 
 // NewRecord is the record before any command.
@@ -162,7 +164,7 @@
 	if err != nil {
 		return Answer{No: no, Why: err.Error()}, nil
 	}
-	if s, ok := r.Sessions[c.Caller]; ok && c.Number <= s.Last {
+	if s, ok := r.Sessions[c.Caller]; ok && c.Number <= s.Last && r.Bug != "retry-twice" {
 		r.Retries++
 		if c.Number < s.Last {
 			return Answer{No: no, Why: "an older command than the last one of this caller"}, nil
@@ -355,6 +357,7 @@
 	if n.V > Form {
 		return fmt.Errorf("snapshot of form %d: %w", n.V, ErrNewer)
 	}
+	n.Bug = r.Bug
 	*r = *n
 	return nil
 }
--- a/fleet/teller.go
+++ b/fleet/teller.go
@@ -61,6 +61,7 @@
 	Matter  string
 	Fence   uint64
 	Passed  uint64 // a higher number that a scheduler named: this owner is none any more
+	Bug     string // one planted by a test of what finds it, "" in any other use
 	targets map[string]*target
 	intents map[string]Intent
 }
@@ -114,7 +115,7 @@
 		switch worker, owes := t.owed(o); {
 		case o.start == "" || now >= o.lookAt:
 			c.Act, c.Start = Look, ""
-		case !o.closed:
+		case !o.closed && t.Bug != "not-closed":
 			c.Act = Close
 		case owes:
 			w := t.intents[worker]
@@ -147,7 +148,7 @@
 		t.Passed = r.Fence
 		return
 	}
-	if r.Start != o.start {
+	if r.Start != o.start && (o.start == "" || t.Bug != "restart-untold") {
 		// Started again from nothing: what its former life said yes to counts no more.
 		o.start, o.closed = r.Start, false
 		clear(o.told)
@@ -208,7 +209,7 @@
 		o := t.targets[id]
 		s := Standing{ID: id, State: Unknown, Why: o.why}
 		switch {
-		case o.closed && o.fails == 0 && (o.told[worker] == w.Since || !w.Out && o.told[worker] == 0 && !o.out[worker]):
+		case (o.closed || t.Bug == "not-closed") && o.fails == 0 && (o.told[worker] == w.Since || !w.Out && o.told[worker] == 0 && !o.out[worker]):
 			s.State = Obeyed
 		case o.fails > 0 || !o.seen:
 			s.State = NotReached
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -108,6 +108,9 @@
 		"seed":   strconv.FormatUint(seed, 16),
 		"limits": map[string]any{"cores": 1, "memory_mb": 384, "sockets": 4096},
 		"known":  json.RawMessage(n.known), "settings": settings(n.w.p, n.no, n.w.phaseNow()), "mgmt": n.mgmt}
+	if n.w.opt.Agent != nil {
+		c["agent"] = n.w.opt.Agent(n.no)
+	}
 	if n.w.p.Schedulers.Peers {
 		c["peer_listen"], c["peers"], c["peers_all"] = n.peer, n.w.relay.addrs, n.w.relay.all
 	}
--- a/lab/live/world.go
+++ b/lab/live/world.go
@@ -50,6 +50,58 @@
 	Serving  func(front, a string) // once all schedulers serve: an address of one, and a scheme
 	Outcome  func(j *load.Job)     // each job that is over
 	Guests   bool                  // workers also serve what did not come by the plan
+	Agent    func(no int) string   // the address of a scheduler's agent, for its configuration
+	// Fleet is called once all schedulers serve; what it returns is waited for before they are ended.
+	Fleet func(f *Fleet) (wait func())
+}
+
+// Fleet is a running day, for those who act on it from outside the plan.
+type Fleet struct{ w *world }
+
+// Member is a scheduler as others reach it.
+type Member struct{ ID, Zone, Mgmt, Log string }
+
+// Schedulers lists the schedulers.
+func (f *Fleet) Schedulers() (all []Member) {
+	for _, n := range f.w.nodes {
+		all = append(all, Member{n.name(), f.w.p.Schedulers.Zones[n.zone], n.mgmt, filepath.Join(f.w.dir, n.name()+".log")})
+	}
+	return all
+}
+
+// Workers lists the workers with their zones.
+func (f *Fleet) Workers() map[string]string {
+	all := map[string]string{}
+	for _, b := range f.w.boxes {
+		all[b.Name] = f.w.p.Zones()[b.Zone]
+	}
+	return all
+}
+
+// Out tells the auditor that from now on no scheduler may send anything new to a worker, or that each may again.
+func (f *Fleet) Out(worker string, out bool) {
+	for _, n := range f.w.nodes {
+		f.w.note(func(at float64) { f.w.audit.Staffed(at, n.name(), worker, out) })
+	}
+}
+
+// Kill ends a scheduler by force and starts it again after a time, from nothing: what it kept of who is out goes with its
+// machine. Stop has it stand still for so long.
+func (f *Fleet) Kill(no int, again time.Duration) {
+	n := f.w.nodes[no]
+	if n.signal(syscall.SIGKILL) {
+		time.AfterFunc(again, func() {
+			_ = os.Remove(filepath.Join(f.w.dir, "shalebeam-"+strings.ReplaceAll(n.addr, ":", "-")+".out"))
+			_ = n.start()
+		})
+	}
+}
+
+func (f *Fleet) Stop(no int, still time.Duration) {
+	n := f.w.nodes[no]
+	if n.signal(syscall.SIGSTOP) {
+		time.AfterFunc(still, func() { n.signal(syscall.SIGCONT) })
+	}
 }
 
 // world is one run.
@@ -234,7 +286,12 @@
 		return nil, err
 	}
 	w.begun = time.Now()
+	wait := func() {}
+	if opt.Fleet != nil {
+		wait = opt.Fleet(&Fleet{w})
+	}
 	w.run(ctx)
+	wait()
 	w.finish(ctx.Err() != nil)
 	return w.got, w.crashed
 }
--- a/quorum/faults.go
+++ b/quorum/faults.go
@@ -22,7 +22,7 @@
 	FailAdd  string  // the same of each write
 	SlowSync float64 // ms that a sync takes
 	Rate     float64 // of the clock, 0 for 1
-	Jump     float64 // ms that the clock is ahead
+	Jump     float64 // ms that the wall clock is ahead: nothing may go by it
 }
 
 func faults() (f Faults) {
@@ -90,7 +90,7 @@
 
 func (f *badFile) Close() error { return f.File.Close() }
 
-// badClock runs at another rate, and may jump. Its rate changes what is still to come, never what was.
+// badClock runs at another rate. That changes what is still to come, never what was.
 type badClock struct {
 	mu    sync.Mutex
 	clock Clock
@@ -109,5 +109,12 @@
 	}
 	c.now += (at - c.at) * f.Rate
 	c.at = at
-	return c.now + f.Jump
+	return c.now
 }
+
+// WallClock is what a planted bug counts terms by.
+func WallClock() Clock { return jumping{} }
+
+type jumping struct{}
+
+func (jumping) Now() float64 { return float64(time.Now().UnixNano())/1e6 + faults().Jump }
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -88,7 +88,7 @@
 
 // openLog reads the log; there may be none. A tail that can't be read and has nothing after it was being written when
 // the process ended: nobody was told that it is kept.
-func openLog(d Disk) (*log, *kept, error) {
+func openLog(d Disk, bug string) (*log, *kept, error) {
 	l, k := &log{disk: d, place: 1}, &kept{marks: map[uint64]Mark{}}
 	raw, err := d.Read(logName)
 	if os.IsNotExist(err) {
@@ -105,7 +105,9 @@
 					return nil, nil, fmt.Errorf("log: record %d at byte %d: %w", place, at, ErrRotten)
 				}
 			}
-			k.cut = len(raw) - at
+			if k.cut = len(raw) - at; bug == "torn-whole" && k.cut > headSize {
+				_ = k.take(kind(raw[at+16]), raw[at+headSize:])
+			}
 			break
 		}
 		if err := k.take(what, payload); err != nil {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -107,7 +107,8 @@
 func Open(o Options) (n *Node, err error) {
 	n = &Node{o: o, mem: raft.NewMemoryStorage(), Record: fleet.NewRecord(), marks: map[uint64]Mark{},
 		toldBy: map[uint64]bool{}}
-	l, k, err := openLog(o.Disk)
+	n.Record.Bug = o.Bug
+	l, k, err := openLog(o.Disk, o.Bug)
 	if err != nil {
 		return nil, err
 	}
@@ -454,6 +455,7 @@
 	}
 	if r.Snapshot != nil && !raft.IsEmptySnap(r.Snapshot) {
 		fresh := fleet.NewRecord()
+		fresh.Bug = n.o.Bug
 		if err := fresh.Restore(r.Snapshot.Data); err != nil {
 			return err
 		}
--- a/quorum/plain.go
+++ b/quorum/plain.go
@@ -6,3 +6,6 @@
 func wrap(d Disk) Disk { return d }
 
 func wrapClock(c Clock) Clock { return c }
+
+// WallClock is there for a bug that the lab plants.
+func WallClock() Clock { return NewClock() }
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -379,7 +379,7 @@
 // The log reads back what was written, whatever byte it ends at, and takes no torn record as whole.
 func TestLogAtAnyByte(t *testing.T) {
 	d := newMemory()
-	l, _, _ := openLog(d)
+	l, _, _ := openLog(d, "")
 	if err := l.anew(&pb.Snapshot{Data: []byte("x")}, nil, nil, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -395,7 +395,7 @@
 	for cut := base; cut <= len(whole); cut++ {
 		c := newMemory()
 		c.files[logName] = &memFile{d: c, kept: whole[:cut]}
-		_, k, err := openLog(c)
+		_, k, err := openLog(c, "")
 		want := 0
 		for _, e := range ends {
 			if e <= cut {
@@ -410,7 +410,7 @@
 		c := newMemory()
 		c.files[logName] = &memFile{d: c, kept: append([]byte{}, whole...)}
 		c.files[logName].kept[at] ^= 16
-		if _, _, err := openLog(c); !errors.Is(err, ErrRotten) {
+		if _, _, err := openLog(c, ""); !errors.Is(err, ErrRotten) {
 			t.Fatalf("a bit flipped at %d: %v", at, err)
 		}
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -65,10 +65,10 @@
 // passes tells whether such a call counts, else how it is answered.
 func (f *fleet) passes(c *fenced) (status int, body string) {
 	switch known, ok := f.numbers[c.matter]; {
-	case c.start != f.start:
+	case c.start != f.start && !planted("former-start"):
 		// What was meant for a former life that has ended: this one remembers no number to judge it by.
 		return 409, "start " + f.start + "\n"
-	case c.number < known:
+	case c.number < known && !planted("no-fence"):
 		return 409, fmt.Sprintf("fence %s %d\n", c.matter, known)
 	case !ok && len(f.numbers) >= mostMatters:
 		return 503, "no room for one more matter\n"
@@ -110,7 +110,10 @@
 			if status, body = o.fleet.passes(c); status != 0 {
 				return false
 			}
-			o.fleet.numbers[c.matter] = c.number
+			if c.number > o.fleet.numbers[c.matter] {
+				o.s.log.Printf("msg=fence matter=%q number=%d", c.matter, c.number)
+			}
+			o.fleet.numbers[c.matter] = max(c.number, o.fleet.numbers[c.matter])
 			in.Fences = maps.Clone(o.fleet.numbers)
 		}
 		status, body = do(in)
--- a/scheduler/ops.go
+++ b/scheduler/ops.go
@@ -208,6 +208,9 @@
 	})
 	if status == 200 {
 		o.set(id, r)
+		if by != nil {
+			o.s.log.Printf("msg=told id=%q out=%t matter=%q number=%d", id, r.out(), by.matter, by.number)
+		}
 	}
 	return status, body
 }
