--- a/agent/agent.go
+++ b/agent/agent.go
@@ -92,7 +92,7 @@
 		for _, v := range f.Voter {
 			first[v.ID] = v.Addr
 		}
-		if a.host, err = quorum.NewHost(ctx, quorum.Options{ID: v.ID, Voters: first, Join: f.Joins, Trust: trust, Disk: disk,
+		if a.host, err = quorum.NewHost(ctx, quorum.Options{ID: v.ID, Voters: first, Join: f.Joins, Replaces: f.Replaces, Trust: trust, Disk: disk,
 			Start: rand.Uint64() | 1, Bug: bug}, a.clock, NewHTTP(f.Via, callMost), l); err != nil {
 			return fmt.Errorf("data: %w", err)
 		}
--- a/agent/api.go
+++ b/agent/api.go
@@ -27,6 +27,7 @@
 	Zone   string            `json:"zone"`
 	Voter  uint64            `json:"voter,omitempty"`
 	Counts bool              `json:"counts,omitempty"`
+	Behind bool              `json:"behind,omitempty"` // its disk lacks what it acknowledged: it has to be replaced
 	Leads  bool              `json:"leads,omitempty"`
 	Leader string            `json:"leader,omitempty"`
 	No     uint64            `json:"no"`
@@ -149,7 +150,9 @@
 
 func (a *Agent) alone() string {
 	if a.host != nil {
-		if v, _ := a.host.View(); !v.Counts {
+		if v, _ := a.host.View(); v.Behind {
+			return quorum.ErrBehind.Error()
+		} else if !v.Counts {
 			return quorum.ErrNotCounting.Error()
 		}
 	}
@@ -284,7 +287,7 @@
 // out tells a scheduler that starts who is out. Where the record can't be read for sure it is told what was last heard:
 // that is better than nothing, and its owner tells it anew.
 func (a *Agent) out(w http.ResponseWriter, r *http.Request) {
-	ctx, stop := context.WithTimeout(r.Context(), callMost)
+	ctx, stop := context.WithTimeout(r.Context(), callMost/2) // the scheduler goes on without after two seconds
 	defer stop()
 	rec, err := a.fresh(ctx)
 	if err != nil {
@@ -347,7 +350,8 @@
 	s := Status{Name: a.file.Name, Owner: a.owner, Zone: a.file.Zone, Holds: map[string]uint64{}, Leader: a.leaderAddr()}
 	if a.host != nil {
 		v, _ := a.host.View()
-		s.Voter, s.Counts, s.Leads, s.Syncs, s.Bytes, s.Sent = a.host.ID, v.Counts, v.Leads, v.Syncs, v.Bytes, a.host.Traffic()
+		s.Voter, s.Counts, s.Behind, s.Leads = a.host.ID, v.Counts, v.Behind, v.Leads
+		s.Syncs, s.Bytes, s.Sent = v.Syncs, v.Bytes, a.host.Traffic()
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/agent/client.go
+++ b/agent/client.go
@@ -27,7 +27,7 @@
 
 // Refusal is an agent's no, with its reason.
 type Refusal struct {
-	Status int
+	Status int    `json:"-"`
 	Why    string `json:"why"`
 	Leader string `json:"leader,omitempty"` // who may know better
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -19,8 +19,10 @@
 	Data   string `toml:"data"`   // the folder of a voter's log
 	Term   Span   `toml:"term"`   // how long a claim holds, 1s to 1m; 3s where none is named
 	// Joins says that this voter is a new one, which another's "member replace" has added or is about to.
-	Joins bool    `toml:"joins"`
-	Voter []Voter `toml:"voter"`
+	Joins bool `toml:"joins"`
+	// Replaces is the number of the voter in whose place it is put.
+	Replaces uint64  `toml:"replaces"`
+	Voter    []Voter `toml:"voter"`
 	// Scheduler are those of this machine, which the agent puts on record.
 	Scheduler []Local `toml:"scheduler"`
 	// Via has calls to an address go to another one, as where a machine is reached through a forwarder.
@@ -124,6 +126,9 @@
 	if f.Joins && f.voter() == nil {
 		return errors.New("joins: this agent is no voter")
 	}
+	if f.Replaces != 0 && (!f.Joins || ids[f.Replaces]) {
+		return errors.New("replaces: a number that no voter here has, of one that joins")
+	}
 	seen := map[string]bool{}
 	for i, s := range f.Scheduler {
 		switch {
--- a/cmd/beamctl/main.go
+++ b/cmd/beamctl/main.go
@@ -147,6 +147,8 @@
 			switch {
 			case r.Voter != 0 && r.Leads:
 				voter = fmt.Sprint(r.Voter, " leads")
+			case r.Behind:
+				voter = fmt.Sprint(r.Voter, " REPLACE: its disk lacks what it acknowledged")
 			case r.Voter != 0 && !r.Counts:
 				voter = fmt.Sprint(r.Voter, " waits")
 			case r.Voter != 0:
--- /dev/null
+++ b/cmd/beamlab/cluster.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"shalebeam/lab/cluster"
+)
+
+type clusterCmd struct {
+	Days clusterDays `cmd:"" help:"Play seeded days of real agents and schedulers with faults between them."`
+	Demo clusterDemo `cmd:"" help:"Three agents, four schedulers, workers and load on loopback, and a beamctl line that works."`
+}
+
+type clusterDays struct {
+	Seed       uint64        `default:"1" help:"The first day's seed."`
+	Days       int           `default:"1" help:"How many."`
+	Jobs       int           `default:"2" help:"Days at once; a day is a dozen processes."`
+	Plant      string        `placeholder:"BUG" help:"Plant a bug: ${bugs}."`
+	Keep       string        `placeholder:"FOLDER" help:"Keep logs and disks there."`
+	Programs   string        `placeholder:"FOLDER" help:"Of shalebeam and beamagent built with the tag faults; by default they are built now."`
+	Agents     int           `default:"3" help:"How many agents."`
+	Voters     int           `default:"3" help:"How many of them keep the record: 3 or 5."`
+	Schedulers int           `default:"4" help:"How many schedulers."`
+	Workers    int           `default:"9" help:"How many workers."`
+	For        time.Duration `default:"10s" help:"How long faults come in a day."`
+}
+
+// Run plays the days and names each that broke something, with the command that plays it again.
+func (c *clusterDays) Run(ctx context.Context) error {
+	if c.Plant != "" && !slices.Contains(cluster.Bugs, c.Plant) {
+		return fmt.Errorf("--plant: %q is none of %s", c.Plant, strings.Join(cluster.Bugs, ", "))
+	}
+	if c.Voters != 3 && c.Voters != 5 {
+		return errors.New("--voters is 3 or 5")
+	}
+	dir, err := os.MkdirTemp("", "beamlab-cluster-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	programs := c.Programs
+	if programs == "" {
+		programs = filepath.Join(dir, "bin")
+		cmd := exec.CommandContext(ctx, "go", "build", "-tags", "faults", "-o", programs+"/", "./cmd/shalebeam", "./cmd/beamagent")
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return fmt.Errorf("the programs can't be built here (see --programs): %w\n%s", err, out)
+		}
+	}
+	if c.Keep != "" {
+		dir = c.Keep
+	}
+	var mu sync.Mutex
+	var jobs sync.WaitGroup
+	broken, ops, yes, open := 0, 0, 0, 0
+	healed := []float64{}
+	seeds := make(chan uint64)
+	for range max(c.Jobs, 1) {
+		jobs.Go(func() {
+			for seed := range seeds {
+				at := filepath.Join(dir, fmt.Sprint("day", seed))
+				r, err := cluster.Play(ctx, cluster.Options{Seed: seed, Agents: c.Agents, Voters: c.Voters, Schedulers: c.Schedulers,
+					Workers: c.Workers, For: c.For, Bug: c.Plant, Dir: at, Program: filepath.Join(programs, "shalebeam"),
+					Agent: filepath.Join(programs, "beamagent")})
+				mu.Lock()
+				switch {
+				case ctx.Err() != nil:
+				case err != nil:
+					broken++
+					fmt.Printf("day %d: could not be played: %v\n", seed, err)
+				default:
+					ops, yes, open = ops+r.Ops, yes+r.Yes, open+r.Open
+					healed = append(healed, r.Healed)
+					fmt.Printf("day %d: %d operations, %d by all, %d open, healed in %.1f s, %d postings: %d broken\n", seed, r.Ops, r.Yes,
+						r.Open, r.Healed, r.Postings, len(r.Breaks))
+					if len(r.Breaks) > 0 {
+						broken++
+						for _, b := range r.Breaks[:min(len(r.Breaks), 5)] {
+							fmt.Println("  " + b)
+						}
+						fmt.Printf("  again: beamlab cluster days --seed %d --agents %d --voters %d --schedulers %d --workers %d --for %v",
+							seed, c.Agents, c.Voters, c.Schedulers, c.Workers, c.For)
+						if c.Plant != "" {
+							fmt.Printf(" --plant %s", c.Plant)
+						}
+						fmt.Println(" --keep logs")
+					}
+				}
+				mu.Unlock()
+				if c.Keep == "" {
+					os.RemoveAll(at)
+				}
+			}
+		})
+	}
+	for i := range c.Days {
+		select {
+		case seeds <- c.Seed + uint64(i):
+		case <-ctx.Done():
+		}
+	}
+	close(seeds)
+	jobs.Wait()
+	slices.Sort(healed)
+	if n := len(healed); n > 0 {
+		fmt.Printf("%d days: %d broken; %d operations, %d by all, %d open; healed in %.1f s (median), %.1f s at worst\n", n, broken, ops, yes, open,
+			healed[n/2], healed[n-1])
+	}
+	if broken > 0 {
+		return errBroken
+	}
+	return ctx.Err()
+}
+
+type clusterDemo struct {
+	For   time.Duration `default:"10m" help:"How long, unless Ctrl-C comes first."`
+	Fault []string      `sep:"none" placeholder:"FAULT" help:"As 'kill a0 at=5s for=3s', 'stop a1 ...', 'cut a2 ...', 'stall a2 ...', 'kill s1 ...'. May be given more than once."`
+}
+
+// Run brings up a fleet on loopback with the ordinary programs, and prints the lines to try.
+func (c *clusterDemo) Run(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	beside := func(name string) string { return filepath.Join(filepath.Dir(self), name) }
+	for _, name := range []string{"shalebeam", "beamagent", "beamctl"} {
+		if _, err := os.Stat(beside(name)); err != nil {
+			return fmt.Errorf("%s is not beside beamlab: make build", name)
+		}
+	}
+	var faults []cluster.Fault
+	for _, text := range c.Fault {
+		f, err := cluster.ParseFault(text)
+		if err != nil {
+			return fmt.Errorf("--fault: %w", err)
+		}
+		faults = append(faults, f)
+	}
+	dir, err := os.MkdirTemp("", "beamlab-demo-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	ctx, stop := context.WithTimeout(ctx, c.For)
+	defer stop()
+	_, err = cluster.Play(ctx, cluster.Options{Seed: 1, Dir: dir, Hold: true, Program: beside("shalebeam"), Agent: beside("beamagent"),
+		Tell: func(text string) { fmt.Println(text) }, Act: func(d *cluster.Day) {
+			addrs, worker, zone := d.Try()
+			fmt.Printf("\nthree agents and four schedulers run. In another window:\n\n")
+			fmt.Printf("  export BEAM_AGENT=%s\n  %s status\n", strings.Join(addrs, ","), beside("beamctl"))
+			fmt.Printf("  %s worker down %s --zone %s --why maintenance\n  %s worker up %s\n  %s events\n\n", beside("beamctl"), worker, zone,
+				beside("beamctl"), worker, beside("beamctl"))
+			d.Script(faults)
+		}})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- a/cmd/beamlab/main.go
+++ b/cmd/beamlab/main.go
@@ -8,9 +8,12 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"shalebeam/lab/cluster"
 )
 
 func main() {
@@ -28,9 +31,10 @@
 		Trace   traceCmd   `cmd:"" help:"Tell all that happened to one txn."`
 		Report  reportCmd  `cmd:"" help:"Make a page, or pictures, of results written with --json."`
 		Check   checkCmd   `cmd:"" help:"Check an experiment file."`
+		Cluster clusterCmd `cmd:"" help:"Real agents and schedulers together, with faults between them."`
 	}
 	k := kong.Parse(&cli, kong.Name("beamlab"), kong.BindTo(ctx, (*context.Context)(nil)),
-		kong.Description("An emulator of fleets with an experiment tool."), kong.Vars{"jobs": jobs()})
+		kong.Description("An emulator of fleets with an experiment tool."), kong.Vars{"jobs": jobs(), "bugs": strings.Join(cluster.Bugs, ", ")})
 	err := k.Run()
 	if errors.Is(err, errBroken) {
 		fmt.Fprintln(os.Stderr, "beamlab:", err)
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -97,8 +97,9 @@
 // Record is the fleet's state after the commands so far. Equal commands in equal order give equal bytes.
 type Record struct {
 	V        int                `json:"v"`
-	No       uint64             `json:"no"`     // of the last command
-	Voters   map[uint64]string  `json:"voters"` // who keeps the record, and where
+	No       uint64             `json:"no"`        // of the last command
+	Voters   map[uint64]string  `json:"voters"`    // who keeps the record, and where
+	VotersNo uint64             `json:"voters_no"` // the change that made them so
 	Members  map[string]Member  `json:"members"`
 	Matters  map[string]Matter  `json:"matters"`
 	Workers  map[string]Intent  `json:"workers"`
@@ -328,7 +329,7 @@
 
 // SetVoter takes a change of who keeps the record.
 func (r *Record) SetVoter(no, add uint64, addr string, remove uint64) {
-	r.No = no
+	r.No, r.VotersNo = no, no
 	if remove != 0 {
 		delete(r.Voters, remove)
 		r.note(no, "voter", fmt.Sprintf("-%d", remove), &Command{})
--- /dev/null
+++ b/lab/cluster/day.go
@@ -0,0 +1,826 @@
+// Package cluster plays days of several processes: real agents and schedulers, with the lab's workers, discovery and load,
+// each link between two processes through a relay, and faults of links, processes, disks and clocks that overlap, by seed.
+// What judges a day is independent of what is judged: workers' own notes of postings, every caller's call and answer, and
+// what the schedulers logged to have taken.
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"shalebeam/agent"
+	"shalebeam/fleet"
+	"shalebeam/lab/live"
+	"shalebeam/lab/plan"
+)
+
+// Options are one day's.
+type Options struct {
+	Seed       uint64
+	Agents     int // the first Voters of them keep the record
+	Voters     int
+	Schedulers int
+	Workers    int
+	For        time.Duration // that faults come
+	Program    string        // shalebeam, and beamagent, built with the tag faults
+	Agent      string
+	Dir        string
+	Bug        string // one planted
+	Calm       bool   // no faults by themselves
+	Load       float64
+	Tell       func(string)
+	// Act has a test play its own day in place of the seeded one; faults end when it returns.
+	Act func(d *Day)
+	// Hold goes on until ctx is done, in place of ending: for a demonstration.
+	Hold bool
+}
+
+// Report is what came of a day.
+type Report struct {
+	Seed     uint64
+	Breaks   []string
+	Ops      int // commands that were answered, and reads
+	Yes      int // changes that every scheduler said yes to
+	Open     int // never answered
+	Faults   []string
+	Postings int
+	Healed   float64 // s from the end of faults until every scheduler knew who is out
+}
+
+type day struct {
+	opt    Options
+	ctx    context.Context
+	dir    string
+	r      *rand.Rand
+	begun  time.Time
+	agents []*proc
+	live   *live.Fleet
+	links  map[string]*relay // "a0>a1", "a0>s3"
+	http   *http.Client
+
+	mu     sync.Mutex
+	rep    Report
+	hist   history
+	quiet  bool // faults are over
+	nextID uint64
+	behind map[int]bool
+	locks  map[string]*sync.Mutex // by worker
+	number map[string]uint64
+}
+
+// Day is what a test of its own acts on.
+type Day struct{ *day }
+
+const term = time.Second
+
+func (o *Options) fill() {
+	if o.Voters == 0 {
+		o.Voters = 3
+	}
+	o.Agents = max(o.Agents, o.Voters)
+	if o.Schedulers == 0 {
+		o.Schedulers = 4
+	}
+	if o.Workers == 0 {
+		o.Workers = 9
+	}
+	if o.For == 0 {
+		o.For = 8 * time.Second
+	}
+	if o.Load == 0 {
+		o.Load = 0.4
+	}
+}
+
+const planOf = `name = "cluster"
+length = %q
+[schedulers]
+count = %d
+zones = ["a", "b"]
+copies = true
+cancels = true
+probes = true
+peers = true
+advice = "1s"
+[[scheme]]
+name = "look"
+effect = "repeatable"
+sla = "1s"
+expiry = "3s"
+gain = 1
+part = 2
+hinted = 1
+cost = { law = "exp", mean = "40ms", most = "300ms" }
+[[scheme]]
+name = "reserve"
+effect = "once-only"
+sla = "1s"
+expiry = "3s"
+gain = 1
+part = 1
+hinted = 1
+cost = { law = "exp", mean = "40ms", most = "300ms" }
+[[workers]]
+name = "w"
+count = %d
+cores = 2
+slots = 2
+queue = 4
+[cold]
+for = "2s"
+[clients]
+load = %g
+arrivals = "poisson"
+tries = 2
+backoff = "100ms"
+front_lag = "300ms"
+[discovery]
+lag = "20ms"
+`
+
+const healMost = 30 * time.Second // after faults: voters are replaced, owners change; then 10 s for all to know
+
+// Play plays one day.
+func Play(ctx context.Context, opt Options) (*Report, error) {
+	opt.fill()
+	d := &day{opt: opt, ctx: ctx, dir: opt.Dir, r: rand.New(rand.NewPCG(opt.Seed, 7)), links: map[string]*relay{},
+		http: agent.NewHTTP(nil, time.Second), behind: map[int]bool{}, locks: map[string]*sync.Mutex{}, number: map[string]uint64{},
+		nextID: 100, rep: Report{Seed: opt.Seed}}
+	var cancel context.CancelFunc
+	d.ctx, cancel = context.WithCancel(ctx)
+	defer cancel()
+	if err := os.MkdirAll(d.dir, 0o755); err != nil {
+		return nil, err
+	}
+	length := opt.For
+	if opt.Hold {
+		length = time.Hour
+	}
+	p, err := plan.Parse(fmt.Appendf(nil, planOf, length.String(), opt.Schedulers, opt.Workers, opt.Load))
+	if err != nil {
+		return nil, err
+	}
+	if err := d.addresses(); err != nil {
+		return nil, err
+	}
+	defer d.close()
+	for _, a := range d.agents {
+		if err := a.start(); err != nil {
+			return nil, err
+		}
+	}
+	var failed error
+	got, err := live.Play(d.ctx, p, opt.Seed, live.Options{Program: opt.Program, Dir: filepath.Join(d.dir, "schedulers"),
+		Agent: func(no int) string { return d.agents[no%len(d.agents)].file.Listen },
+		Fleet: func(f *live.Fleet) func() {
+			d.live = f
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				failed = d.play()
+			}()
+			return func() { <-done }
+		}})
+	if err != nil && !opt.Hold {
+		return nil, err
+	}
+	if failed != nil {
+		return nil, failed
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if got != nil {
+		d.rep.Postings = got.Postings
+		alone := d.alone()
+		for _, b := range got.Breaks {
+			if text := b.String(); !strings.Contains(text, "staff took it out") || !alone.MatchString(text) {
+				d.rep.Breaks = append(d.rep.Breaks, "txns: "+text)
+			}
+		}
+	}
+	return &d.rep, nil
+}
+
+// addresses gives every process its place, and every link its relay.
+func (d *day) addresses() error {
+	var voters []agent.Voter
+	for i := range d.opt.Agents {
+		addr, err := live.FreeAddr()
+		if err != nil {
+			return err
+		}
+		p := &proc{d: d, no: i, file: agent.File{Name: fmt.Sprint("a", i), Zone: []string{"a", "b"}[i%2], Listen: addr,
+			Term: agent.Span(term), Via: map[string]string{}}}
+		p.file.Data = filepath.Join(d.dir, p.file.Name)
+		d.agents = append(d.agents, p)
+		if i < d.opt.Voters {
+			voters = append(voters, agent.Voter{ID: uint64(i + 1), Name: p.file.Name, Addr: addr})
+		}
+	}
+	for _, p := range d.agents {
+		p.file.Voter = slices.Clone(voters)
+		for _, o := range d.agents {
+			if o == p {
+				continue
+			}
+			if err := d.link(p, o.file.Name, o.file.Listen); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *day) link(p *proc, name, addr string) error {
+	r, err := newRelay(addr)
+	if err != nil {
+		return err
+	}
+	d.links[p.file.Name+">"+name] = r
+	p.file.Via[addr] = r.addr()
+	return nil
+}
+
+func (d *day) close() {
+	for _, p := range d.agents {
+		p.kill()
+	}
+	for _, r := range d.links {
+		r.close()
+	}
+}
+
+func (d *day) say(format string, args ...any) {
+	text := fmt.Sprintf("%6.2f ", time.Since(d.begun).Seconds()) + fmt.Sprintf(format, args...)
+	d.mu.Lock()
+	d.rep.Faults = append(d.rep.Faults, text)
+	d.mu.Unlock()
+	if d.opt.Tell != nil {
+		d.opt.Tell(text)
+	}
+}
+
+func (d *day) broke(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.rep.Breaks) < 50 {
+		d.rep.Breaks = append(d.rep.Breaks, fmt.Sprintf(format, args...))
+	}
+}
+
+// play is the day, once all schedulers serve: agents learn of the schedulers, then callers and faults, then the end.
+func (d *day) play() error {
+	d.begun = time.Now()
+	for i, m := range d.live.Schedulers() {
+		for _, p := range d.agents {
+			if err := d.link(p, m.ID, m.Mgmt); err != nil {
+				return err
+			}
+		}
+		p := d.agents[i%len(d.agents)]
+		p.file.Scheduler = append(p.file.Scheduler, agent.Local{ID: m.ID, Zone: m.Zone, Addr: m.Mgmt})
+	}
+	for _, p := range d.agents {
+		p.kill() // and started again with what it has to know
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	if err := d.await(20*time.Second, "every scheduler on record, every zone owned", func() error {
+		r, err := d.read(d.ctx)
+		if err != nil {
+			return err
+		}
+		if n := len(r.Of("scheduler")); n < d.opt.Schedulers {
+			return fmt.Errorf("%d schedulers on record", n)
+		}
+		for _, z := range r.Zones() {
+			if r.Matters[fleet.MatterOf(z)].Owner == "" {
+				return fmt.Errorf("zone %s has no owner", z)
+			}
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(d.ctx)
+	go d.watch()
+	var callers sync.WaitGroup
+	if d.opt.Hold {
+		if d.opt.Act != nil {
+			d.opt.Act(&Day{d})
+		}
+		<-d.ctx.Done()
+		stop()
+		return nil
+	}
+	if d.opt.Act != nil {
+		d.opt.Act(&Day{d})
+	} else {
+		for i := range 5 {
+			callers.Go(func() { d.caller(ctx, i) })
+		}
+		d.faults()
+	}
+	stop()
+	d.heal()
+	callers.Wait()
+	healed := time.Now()
+	err := d.await(healMost, "the record in reach", func() error {
+		_, err := d.read(d.ctx)
+		return err
+	})
+	if err != nil {
+		d.broke("%v", err)
+		return nil
+	}
+	// Owners may have to wait for a term, and a new leader for another; then all know within ten seconds.
+	if err := d.await(3*term+10*time.Second, "every scheduler knows who is out", d.allKnow); err != nil {
+		d.broke("%v", err)
+	}
+	d.rep.Healed = time.Since(healed).Seconds()
+	d.judge()
+	return nil
+}
+
+func (d *day) await(most time.Duration, what string, ok func() error) error {
+	var err error
+	for end := time.Now().Add(most); time.Now().Before(end) && d.ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		if err = ok(); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("not in %v: %s: %w", most, what, err)
+}
+
+// addrs lists where agents are asked, in an order of the caller's own.
+func (d *day) addrs(r *rand.Rand) (all []string) {
+	for _, p := range d.agents {
+		all = append(all, p.file.Listen)
+	}
+	if r != nil {
+		r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	}
+	return all
+}
+
+func (d *day) read(ctx context.Context) (*fleet.Record, error) {
+	var raw json.RawMessage
+	if err := (&agent.Caller{HTTP: d.http, Addrs: d.addrs(nil)}).Get(ctx, "/v1/read", &raw); err != nil {
+		return nil, err
+	}
+	r := fleet.NewRecord()
+	return r, r.Restore(raw)
+}
+
+// allKnow tells whether every scheduler has out just what the record has.
+func (d *day) allKnow() error {
+	r, err := d.read(d.ctx)
+	if err != nil {
+		return err
+	}
+	want := r.OutIn("")
+	for _, m := range d.live.Schedulers() {
+		var k struct{ Out map[string]string }
+		p, err := d.http.Get("http://" + m.Mgmt + "/ops/fence")
+		if err != nil {
+			return err
+		}
+		err = json.NewDecoder(p.Body).Decode(&k)
+		p.Body.Close()
+		if got := slices.Sorted(maps.Keys(k.Out)); err != nil || !slices.Equal(got, want) {
+			return fmt.Errorf("%s has out %v, the record %v", m.ID, got, want)
+		}
+	}
+	return nil
+}
+
+// ---- callers ----
+
+// lock has a worker changed by one caller at a time: else nobody could say from when on nothing may reach it.
+func (d *day) lock(worker string) *sync.Mutex {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.locks[worker] == nil {
+		d.locks[worker] = &sync.Mutex{}
+	}
+	return d.locks[worker]
+}
+
+// caller changes and reads, as long as the day goes.
+func (d *day) caller(ctx context.Context, no int) {
+	r := rand.New(rand.NewPCG(d.opt.Seed, uint64(100+no)))
+	var workers []string
+	for id := range d.live.Workers() {
+		workers = append(workers, id)
+	}
+	slices.Sort(workers)
+	workers = workers[:max(len(workers)/3, 1)]
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(20+r.IntN(150)) * time.Millisecond)
+		switch r.IntN(5) {
+		case 0, 1: // on record alone: several callers at one worker
+			worker := fmt.Sprint("x", r.IntN(2))
+			d.Change(no, worker, "a", []string{"out", "in"}[r.IntN(2)], d.addrs(r))
+		case 2, 3:
+			worker := workers[r.IntN(len(workers))]
+			d.Worker(no, worker, r.IntN(5) < 3, d.addrs(r), 2*time.Second)
+		case 4:
+			d.Read(no, fmt.Sprint("x", r.IntN(2)), d.addrs(r))
+		}
+	}
+}
+
+// Change puts an intent on record: the same command again, at other agents, until somebody says what came of it.
+func (d *day) Change(no int, worker, zone, do string, addrs []string) (fleet.Answer, bool) {
+	d.mu.Lock()
+	who := fmt.Sprint("caller", no)
+	d.number[who]++
+	c := fleet.Command{V: fleet.Form, Caller: who, Number: d.number[who], Do: do, ID: worker, Zone: zone, By: who,
+		Why: fmt.Sprint(who, " ", d.number[who]), Force: true}
+	d.mu.Unlock()
+	op := d.hist.begin(no, worker, do)
+	var a fleet.Answer
+	err := errors.New("not asked")
+	for end := time.Now().Add(healMost); err != nil && time.Now().Before(end) && d.ctx.Err() == nil; {
+		ctx, stop := context.WithTimeout(d.ctx, 2*time.Second)
+		a, err = (&agent.Caller{HTTP: d.http, Addrs: addrs}).Do(ctx, c)
+		stop()
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.rep.Open++
+		op.open()
+		return a, false
+	}
+	d.rep.Ops++
+	op.end(a.Done, false)
+	return a, true
+}
+
+// Worker takes a worker out or back, and waits until every scheduler has said yes: from then on nothing new may reach it.
+func (d *day) Worker(no int, worker string, out bool, addrs []string, most time.Duration) bool {
+	l := d.lock(worker)
+	l.Lock()
+	defer l.Unlock()
+	if !out {
+		d.live.Out(worker, false) // from the asking on it may be in use again
+		_, ok := d.Change(no, worker, d.live.Workers()[worker], "in", addrs)
+		return ok
+	}
+	a, ok := d.Change(no, worker, d.live.Workers()[worker], "out", addrs)
+	if !ok || !a.Done {
+		return false
+	}
+	for end := time.Now().Add(most); time.Now().Before(end) && d.ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		if d.Obeyed(worker, addrs) {
+			d.live.Out(worker, true)
+			d.mu.Lock()
+			d.rep.Yes++
+			d.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
+// Obeyed asks who has said yes to a worker being out.
+func (d *day) Obeyed(worker string, addrs []string) bool {
+	ctx, stop := context.WithTimeout(d.ctx, time.Second)
+	defer stop()
+	var t agent.Told
+	if err := (&agent.Caller{HTTP: d.http, Addrs: addrs}).Get(ctx, "/v1/told?worker="+worker, &t); err != nil || !t.Intent.Out ||
+		len(t.Rows) < d.opt.Schedulers {
+		return false
+	}
+	for _, r := range t.Rows {
+		if r.State != fleet.Obeyed {
+			return false
+		}
+	}
+	return true
+}
+
+// Read reads one worker's intent, as new as any answer before.
+func (d *day) Read(no int, worker string, addrs []string) {
+	op := d.hist.begin(no, worker, "read")
+	ctx, stop := context.WithTimeout(d.ctx, 2*time.Second)
+	defer stop()
+	var raw json.RawMessage
+	r := fleet.NewRecord()
+	if err := (&agent.Caller{HTTP: d.http, Addrs: addrs}).Get(ctx, "/v1/read", &raw); err != nil || r.Restore(raw) != nil {
+		op.drop()
+		return
+	}
+	d.mu.Lock()
+	d.rep.Ops++
+	d.mu.Unlock()
+	op.end(true, r.Workers[worker].Out)
+}
+
+// ---- faults ----
+
+func (d *day) links1(r *rand.Rand) []*relay {
+	var names []string
+	one := fmt.Sprint("a", r.IntN(len(d.agents)))
+	for name := range d.links {
+		if strings.HasPrefix(name, one+">") || strings.HasSuffix(name, ">"+one) && r.IntN(2) == 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var all []*relay
+	part := r.IntN(3) // one link, half of them, all of them
+	for i, name := range names {
+		if part == 2 || part == 1 && i%2 == 0 || part == 0 && i == 0 {
+			all = append(all, d.links[name])
+		}
+	}
+	d.say("links of %s: %d", one, len(all))
+	return all
+}
+
+// faults are the day's, by its seed. One voter's disk may lie in a day: of two at once nothing can be promised.
+func (d *day) faults() {
+	end := d.begun.Add(d.opt.For)
+	if d.opt.Calm {
+		time.Sleep(time.Until(end))
+		return
+	}
+	var under sync.WaitGroup
+	victim := d.r.IntN(d.opt.Voters)
+	disk := false
+	for time.Now().Before(end) && d.ctx.Err() == nil {
+		time.Sleep(time.Duration(100+d.r.IntN(700)) * time.Millisecond)
+		left := time.Until(end)
+		if left < 500*time.Millisecond {
+			break
+		}
+		span := min(time.Duration(200+d.r.IntN(3000))*time.Millisecond, left)
+		p := d.agents[d.r.IntN(len(d.agents))]
+		r := rand.New(rand.NewPCG(d.r.Uint64(), 3))
+		what := d.r.IntN(11)
+		if d.opt.Bug != "" && d.r.IntN(2) == 0 {
+			what = d.aimed()
+		}
+		under.Go(func() {
+			switch what {
+			case 0, 1, 2:
+				mode := []Mode{Stalled, Gone, Slow}[what]
+				there, back := mode, mode
+				switch r.IntN(3) {
+				case 0:
+					back = Whole
+				case 1:
+					there = Whole
+				}
+				d.say("mode %d/%d for %v", there, back, span)
+				links := d.links1(r)
+				for _, l := range links {
+					l.set(there, back)
+				}
+				d.rest(span)
+				for _, l := range links {
+					l.set(Whole, Whole)
+				}
+			case 3:
+				d.say("%s is killed for %v", p.file.Name, span/2)
+				p.kill()
+				d.rest(span / 2)
+				_ = p.start()
+			case 4, 5:
+				still := min(span, 3*term)
+				d.say("%s stands still for %v", p.file.Name, still)
+				p.still(still)
+				d.rest(still)
+			case 6:
+				n := r.IntN(d.opt.Schedulers)
+				d.say("scheduler s%d is killed", n)
+				d.live.Kill(n, min(span, time.Second))
+				d.rest(time.Second)
+			case 7:
+				n := r.IntN(d.opt.Schedulers)
+				d.say("scheduler s%d stands still", n)
+				d.live.Stop(n, min(span, time.Second))
+				d.rest(time.Second)
+			case 8:
+				rate := []float64{0.9, 1.1}[r.IntN(2)]
+				d.say("the clock of %s runs at %g, its wall clock jumps", p.file.Name, rate)
+				p.faults(map[string]any{"Rate": rate, "Jump": float64(r.IntN(120000) - 60000)})
+				d.rest(span)
+				p.faults(map[string]any{"Rate": rate})
+			case 9:
+				d.say("many are killed at once")
+				for _, o := range d.agents {
+					if r.IntN(3) > 0 {
+						o.kill()
+					}
+				}
+				d.rest(span / 3)
+				for _, o := range d.agents {
+					_ = o.start()
+				}
+			case 10:
+				d.mu.Lock()
+				mine := !disk
+				disk = true
+				d.mu.Unlock()
+				if mine {
+					d.disk(d.agents[victim], r, span)
+				}
+			}
+		})
+	}
+	under.Wait()
+}
+
+// aimed is a kind of fault that the planted bug shows under.
+func (d *day) aimed() int {
+	switch d.opt.Bug {
+	case "no-fence", "not-closed":
+		return 0
+	case "wall-clock":
+		return 8
+	case "new-leader-hurries":
+		return []int{3, 1}[d.r.IntN(2)]
+	case "yes-before-sync", "old-disk-votes", "torn-whole":
+		return []int{10, 9}[d.r.IntN(2)]
+	case "stale-read":
+		return []int{1, 4}[d.r.IntN(2)]
+	case "retry-twice":
+		return 0
+	case "restart-untold", "former-start":
+		return []int{6, 0}[d.r.IntN(2)]
+	}
+	return 0
+}
+
+func (d *day) rest(f time.Duration) {
+	select {
+	case <-time.After(f):
+	case <-d.ctx.Done():
+	}
+}
+
+// disk is one fault of a voter's disk.
+func (d *day) disk(p *proc, r *rand.Rand, span time.Duration) {
+	kind := r.IntN(6)
+	d.say("the disk of %s: %s", p.file.Name, []string{"syncs lie, then it is killed", "an older copy is put back", "a torn tail",
+		"a flipped bit", "errors", "syncs of five seconds"}[kind])
+	switch kind {
+	case 0:
+		p.faults(map[string]any{"LieSync": true})
+		d.rest(span / 2)
+		p.kill()
+		p.faults(map[string]any{})
+	case 1:
+		old := p.copyLog()
+		d.rest(span / 2)
+		p.kill()
+		_ = p.putLog(old)
+	case 2:
+		p.kill()
+		_ = p.spoil(func(raw []byte) []byte {
+			tail := make([]byte, 1+r.IntN(60))
+			for i := range tail {
+				tail[i] = byte(r.IntN(4))
+			}
+			return append(raw, tail...)
+		})
+	case 3:
+		p.kill()
+		_ = p.spoil(func(raw []byte) []byte {
+			raw[r.IntN(len(raw))] ^= 1 << r.IntN(8)
+			return raw
+		})
+	case 4:
+		p.faults(map[string]any{"FailSync": []string{"EIO", "ENOSPC"}[r.IntN(2)]})
+		d.rest(span)
+		p.faults(map[string]any{})
+	case 5:
+		p.faults(map[string]any{"SlowSync": 5000})
+		d.rest(span)
+		p.faults(map[string]any{})
+	}
+	d.rest(200 * time.Millisecond)
+	_ = p.start()
+}
+
+// fell takes an agent that ended by itself: one whose disk lacks what it acknowledged is replaced, any other that its disk
+// failed is started again.
+func (d *day) fell(p *proc) {
+	text := p.tail(3)
+	switch {
+	case strings.Contains(text, "input/output") || strings.Contains(text, "no space"):
+		d.say("%s stopped: its disk failed", p.file.Name)
+		time.AfterFunc(500*time.Millisecond, func() { _ = p.start() })
+	default:
+		d.broke("%s ended by itself: %s", p.file.Name, text)
+	}
+}
+
+// watch replaces voters that say that their disk can't be trusted.
+func (d *day) watch() {
+	for d.ctx.Err() == nil {
+		d.rest(300 * time.Millisecond)
+		for _, p := range d.agents {
+			var s agent.Status
+			err := (&agent.Caller{HTTP: d.http, Addrs: []string{p.file.Listen}}).Get(d.ctx, "/v1/status", &s)
+			d.mu.Lock()
+			found := err == nil && s.Behind && !d.behind[p.no]
+			if found {
+				d.behind[p.no] = true
+			}
+			d.mu.Unlock()
+			if found {
+				d.say("%s has to be replaced", p.file.Name)
+				go d.replace(p)
+			}
+		}
+	}
+}
+
+// replace puts a new voter in the place of one whose disk can't be trusted, as a person would.
+func (d *day) replace(p *proc) {
+	d.mu.Lock()
+	d.nextID++
+	id := d.nextID
+	d.mu.Unlock()
+	var old uint64
+	for i := range p.file.Voter {
+		if p.file.Voter[i].Name == p.file.Name {
+			old = p.file.Voter[i].ID
+		}
+	}
+	change := func() bool {
+		body, _ := json.Marshal(map[string]any{"add": id, "addr": p.file.Listen, "remove": old})
+		for _, a := range d.agents {
+			if a == p {
+				continue
+			}
+			q, err := http.NewRequestWithContext(d.ctx, "POST", "http://"+a.file.Listen+"/v1/voters", strings.NewReader(string(body)))
+			if err != nil {
+				return false
+			}
+			if r, err := d.http.Do(q); err == nil {
+				r.Body.Close()
+			}
+		}
+		r, err := d.read(d.ctx)
+		return err == nil && r.Voters[id] == p.file.Listen
+	}
+	// Asked for and not confirmed, it is started all the same: till it is added it only waits, and those that start ask it.
+	for end := time.Now().Add(3 * time.Second); !change() && time.Now().Before(end); d.rest(200 * time.Millisecond) {
+	}
+	p.kill()
+	p.mu.Lock()
+	_ = os.RemoveAll(p.file.Data)
+	for i := range p.file.Voter {
+		if p.file.Voter[i].Name == p.file.Name {
+			p.file.Voter[i].ID = id
+		}
+	}
+	p.file.Joins, p.file.Replaces = true, old
+	p.mu.Unlock()
+	d.say("%s comes back as voter %d", p.file.Name, id)
+	_ = p.start()
+	for d.ctx.Err() == nil && !change() {
+		d.rest(500 * time.Millisecond)
+	}
+	d.mu.Lock()
+	delete(d.behind, p.no)
+	d.mu.Unlock()
+}
+
+// heal ends all faults, and has every process run.
+func (d *day) heal() {
+	for _, r := range d.links {
+		r.set(Whole, Whole)
+	}
+	for _, p := range d.agents {
+		p.faults(map[string]any{})
+		p.signal(syscall.SIGCONT)
+		_ = p.start()
+	}
+	d.say("faults are over")
+}
+
+// Bugs are those that can be planted, in a build with the tag faults.
+var Bugs = []string{"no-fence", "not-closed", "wall-clock", "new-leader-hurries", "yes-before-sync", "stale-read", "retry-twice",
+	"old-disk-votes", "torn-whole", "restart-untold", "former-start"}
--- /dev/null
+++ b/lab/cluster/relay.go
@@ -0,0 +1,165 @@
+package cluster
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a link does to the bytes of one direction.
+type Mode int
+
+const (
+	Whole   Mode = iota
+	Stalled      // bytes are taken, and none delivered; they come when it is whole again
+	Slow         // a byte now and then
+	Gone         // connections are reset, and none is made
+)
+
+// relay is a directed link from one process to another's address: what the one sends, and what comes back.
+type relay struct {
+	l    net.Listener
+	to   string
+	mu   sync.Mutex
+	cond *sync.Cond
+	mode [2]Mode // there, and back
+	open map[net.Conn]bool
+	done bool
+}
+
+func newRelay(to string) (*relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{l: l, to: to, open: map[net.Conn]bool{}}
+	r.cond = sync.NewCond(&r.mu)
+	go r.run()
+	return r, nil
+}
+
+func (r *relay) addr() string { return r.l.Addr().String() }
+
+func (r *relay) set(there, back Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mode = [2]Mode{there, back}
+	if there == Gone || back == Gone {
+		for c := range r.open {
+			reset(c)
+		}
+	}
+	r.cond.Broadcast()
+}
+
+func (r *relay) close() {
+	r.mu.Lock()
+	r.done = true
+	for c := range r.open {
+		c.Close()
+	}
+	r.cond.Broadcast()
+	r.mu.Unlock()
+	r.l.Close()
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (r *relay) run() {
+	for {
+		c, err := r.l.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		gone := r.mode[0] == Gone || r.mode[1] == Gone || r.done
+		if !gone {
+			r.open[c] = true
+		}
+		r.mu.Unlock()
+		if gone {
+			reset(c)
+			continue
+		}
+		go r.join(c)
+	}
+}
+
+func (r *relay) join(c net.Conn) {
+	defer r.forget(c)
+	// What was sent into a stalled link is delivered when it is whole again, though its sender has long given up.
+	s, err := net.DialTimeout("tcp", r.to, time.Second)
+	if err != nil {
+		reset(c)
+		return
+	}
+	r.mu.Lock()
+	r.open[s] = true
+	r.mu.Unlock()
+	defer r.forget(s)
+	back := make(chan struct{})
+	go func() {
+		defer close(back)
+		r.copy(1, c, s)
+	}()
+	r.copy(0, s, c)
+	<-back
+}
+
+func (r *relay) forget(c net.Conn) {
+	c.Close()
+	r.mu.Lock()
+	delete(r.open, c)
+	r.mu.Unlock()
+}
+
+// copy carries one direction until its end, which it passes on in its turn.
+func (r *relay) copy(way int, to, from net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		for sent := 0; sent < n; {
+			k := n - sent
+			switch r.wait(way) {
+			case Gone:
+				reset(to)
+				return
+			case Slow:
+				k = 1
+				time.Sleep(5 * time.Millisecond)
+			}
+			if _, err := to.Write(buf[sent : sent+k]); err != nil {
+				_, _ = io.Copy(io.Discard, from)
+				return
+			}
+			sent += k
+		}
+		if err != nil {
+			if r.wait(way) == Gone {
+				reset(to)
+			} else if t, ok := to.(*net.TCPConn); ok {
+				_ = t.CloseWrite()
+			}
+			return
+		}
+	}
+}
+
+// wait holds bytes while the link is stalled.
+func (r *relay) wait(way int) Mode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.mode[way] == Stalled && !r.done {
+		r.cond.Wait()
+	}
+	if r.done {
+		return Gone
+	}
+	return r.mode[way]
+}
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -91,14 +92,22 @@
 		defer c.Close()
 		return c.LocalAddr().String(), nil
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	// Below the ports that the system deals out by itself: one of those may be another connection's by the time that the
+	// program listens there.
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", 12000+rand.IntN(20000)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String(), nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no port is free")
 }
 
+// FreeAddr is an address on loopback that nobody listens at.
+func FreeAddr() (string, error) { return freeAddr("tcp") }
+
 // write writes the configuration for the next start. The limits leave room for all that a small day can have open: at
 // the bound on clients what comes can only be reset, and the auditor would call it lost.
 func (n *node) write() error {
--- a/quorum/host.go
+++ b/quorum/host.go
@@ -24,6 +24,7 @@
 // Host runs one voter in a real process: one goroutine has the node, others carry letters.
 type Host struct {
 	ID     uint64
+	ctx    context.Context
 	clock  Clock
 	client *http.Client
 	slog   *slog.Logger
@@ -83,7 +84,7 @@
 	if n.Cut > 0 {
 		l.Warn("torn tail cut off", "bytes", n.Cut)
 	}
-	h := &Host{ID: o.ID, clock: clock, client: client, slog: l, in: make(chan func(*Node), 64), dead: make(chan struct{}),
+	h := &Host{ID: o.ID, ctx: ctx, clock: clock, client: client, slog: l, in: make(chan func(*Node), 64), dead: make(chan struct{}),
 		lanes: map[uint64]*lane{}, waits: map[string]chan fleet.Answer{}, reads: map[string]chan struct{}{},
 		fresh: make(chan struct{})}
 	h.look(n)
@@ -105,7 +106,7 @@
 	defer close(h.dead)
 	tick := time.NewTicker(tickEach)
 	defer tick.Stop()
-	was := n.Counts()
+	was, said := n.Counts(), false
 	for {
 		var err error
 		select {
@@ -134,7 +135,13 @@
 			was = n.Counts()
 			h.slog.Info("voter counts", "voter", h.ID)
 		}
-		if err != nil {
+		switch {
+		case err == nil || said:
+		case n.Behind():
+			// It stays to tell others what it has seen of them: with three voters each that starts needs both others.
+			h.slog.Error("voter stopped", "voter", h.ID, "err", err)
+			said = true
+		default:
 			h.slog.Error("voter stopped", "voter", h.ID, "err", err)
 			h.err = err
 			h.look(n)
@@ -177,16 +184,14 @@
 	}
 	changed := v.Raw == nil || v.No != n.Record.No || v.Leader != leader || v.Leads != leads || v.Counts != n.Counts()
 	v.Leader, v.Leads, v.Counts, v.Behind, v.Syncs, v.Bytes = leader, leads, n.Counts(), n.Behind(), n.Syncs(), n.Bytes()
+	if changed || !n.Counts() {
+		v.Addrs = n.Addrs()
+	}
 	if !changed {
 		return
 	}
 	if v.Raw == nil || v.No != n.Record.No {
 		v.Raw, v.No = n.Record.Snapshot(), n.Record.No
-		addrs := map[uint64]string{}
-		for id, a := range n.Record.Voters {
-			addrs[id] = a
-		}
-		v.Addrs = addrs
 	}
 	close(h.fresh)
 	h.fresh = make(chan struct{})
@@ -228,6 +233,10 @@
 		for _, l := range all {
 			if l.To == h.ID {
 				_ = n.Step(h.clock.Now(), l)
+			} else if l.Ask != 0 && l.To == n.o.Replaces {
+				// This one was put in the place of the voter of that number, whose disk is no more.
+				h.post(h.ctx, Letter{From: l.To, To: l.From, Told: l.Ask, Behind: true, Voters: n.Record.Voters,
+					VotersNo: n.Record.VotersNo})
 			}
 		}
 	})
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -32,6 +32,8 @@
 	// ErrBehind says that this voter's disk lacks what others have seen it keep: a lie of the disk, an older copy put
 	// back, or another voter's folder. It may have voted and must not do so again; it can only join as a new one.
 	ErrBehind = errors.New("this disk lacks what this voter has acknowledged: replace the voter")
+	// ErrReplaced says that a person has put another voter in the place of this one.
+	ErrReplaced = errors.New("this voter was replaced by another: it does not vote any more")
 	// ErrNotLeader says that another voter has to be asked, or that there is none.
 	ErrNotLeader = errors.New("this voter does not lead")
 	// ErrNotCounting says that the voter has just started and was not yet told what it acknowledged.
@@ -48,6 +50,9 @@
 	Last     Mark   // of the log of who answers
 	Term     uint64 `json:",omitempty"` // that it is in
 	Behind   bool   `json:",omitempty"` // the one who answers has itself lost what it acknowledged
+	// Who votes as far as the one who answers knows, and by which change: the one who asks may have missed some.
+	Voters   map[uint64]string `json:",omitempty"`
+	VotersNo uint64            `json:",omitempty"`
 }
 
 // Done is what came of a command.
@@ -62,11 +67,13 @@
 	ID     uint64
 	Voters map[uint64]string // the first ones, with their addresses: the same at each of them
 	Join   bool              // begin with nothing and wait to be added
-	Trust  bool              // a person says that this disk is whole: count without being told
-	Disk   Disk
-	Start  uint64 // tells this start from others
-	Now    float64
-	Bug    string // one planted, for tests of what finds it
+	// Replaces is the number of the voter in whose place this one was put: it says that that one's disk is no more.
+	Replaces uint64
+	Trust    bool // a person says that this disk is whole: count without being told
+	Disk     Disk
+	Start    uint64 // tells this start from others
+	Now      float64
+	Bug      string // one planted, for tests of what finds it
 }
 
 // Node is one voter.
@@ -88,6 +95,8 @@
 	need     Mark            // the furthest log that others told of at the start
 	toldBy   map[uint64]bool // those who have said what they saw of this one
 	toldTerm uint64
+	newer    map[uint64]string // who votes, where others told of a later change than this one knows
+	newerNo  uint64
 	ticks    int
 	marks    map[uint64]Mark
 	out      []Letter
@@ -109,7 +118,11 @@
 		toldBy: map[uint64]bool{}}
 	n.Record.Bug = o.Bug
 	l, k, err := openLog(o.Disk, o.Bug)
-	if err != nil {
+	if errors.Is(err, ErrRotten) {
+		n.log, n.err, n.behind = &log{disk: o.Disk}, err, true
+		n.newer = maps.Clone(o.Voters) // where it can still be of use: see Step
+		return n, nil
+	} else if err != nil {
 		return nil, err
 	}
 	n.log = l
@@ -200,6 +213,25 @@
 	return conf.GetVoters()
 }
 
+// asked is who has to say what they saw this voter keep: those who vote by the latest change that anybody told of. One that
+// waited for a voter that was replaced meanwhile would wait for ever.
+func (n *Node) asked() []uint64 {
+	if n.newer != nil {
+		return slices.Sorted(maps.Keys(n.newer))
+	}
+	return n.voters()
+}
+
+// Addrs is where voters are reached.
+func (n *Node) Addrs() map[uint64]string {
+	all := maps.Clone(n.Record.Voters)
+	if n.o.Join && len(all) == 0 {
+		all = maps.Clone(n.o.Voters)
+	}
+	maps.Copy(all, n.newer)
+	return all
+}
+
 // last is how far this voter's own log goes.
 func (n *Node) last() Mark {
 	i, _ := n.mem.LastIndex()
@@ -236,7 +268,7 @@
 		return nil
 	}
 	if n.ticks++; n.ticks%askTicks == 1 {
-		for _, id := range n.voters() {
+		for _, id := range n.asked() {
 			if id != n.o.ID && !n.toldBy[id] {
 				n.out = append(n.out, Letter{From: n.o.ID, To: id, Ask: n.o.Start})
 			}
@@ -252,11 +284,12 @@
 func (n *Node) Step(now float64, l Letter) (err error) {
 	defer n.guard(&err)
 	switch {
-	case n.err != nil:
-		return n.err
 	case l.Ask != 0:
+		// Also by one whose disk can't be trusted: of two at once nothing is promised, so that the other's can.
 		n.out = append(n.out, Letter{From: n.o.ID, To: l.From, Told: l.Ask, Mark: n.marks[l.From], Last: n.last(),
-			Term: n.state.GetTerm(), Behind: n.behind})
+			Term: n.state.GetTerm(), Behind: n.behind, Voters: n.Record.Voters, VotersNo: n.Record.VotersNo})
+	case n.err != nil:
+		return n.err
 	case l.Told != 0:
 		return n.told(l)
 	case n.counts:
@@ -298,6 +331,9 @@
 	if n.counts || l.Told != n.o.Start {
 		return nil
 	}
+	if l.Behind {
+		l.Last = Mark{} // what it has is not the whole of what it had
+	}
 	last := n.last()
 	if l.Mark.Term > n.state.GetTerm() || l.Mark.Term == last.Term && l.Mark.Index > last.Index ||
 		l.Mark.Term > last.Term && l.Mark.Index > last.Index {
@@ -313,8 +349,20 @@
 	if n.need.before(l.Last) {
 		n.need = l.Last
 	}
-	all := n.voters()
-	if len(n.toldBy) < min(len(all)/2+1, len(all)-1) {
+	if l.VotersNo > max(n.Record.VotersNo, n.newerNo) {
+		n.newer, n.newerNo = l.Voters, l.VotersNo
+		if _, in := l.Voters[n.o.ID]; !in && !n.o.Join {
+			n.err = ErrReplaced
+			return n.err
+		}
+	}
+	all, told := n.asked(), 0
+	for _, id := range all {
+		if n.toldBy[id] {
+			told++
+		}
+	}
+	if told < min(len(all)/2+1, len(all)-1) {
 		return nil
 	}
 	return n.begin()
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -82,6 +82,7 @@
 	Start  string            `json:"start"`
 	Fences map[string]uint64 `json:"fences"`
 	Out    map[string]string `json:"out"` // workers that the fleet took out, and the matter
+	Stale  bool              `json:"stale,omitempty"`
 }
 
 func (o *ops) known() string {
@@ -150,7 +151,7 @@
 			o.set(id, record{Since: now, Fleet: k.Out[id]})
 		}
 	}
-	o.s.log.Printf("msg=agent state=asked addr=%s out=%d", addr, len(k.Out))
+	o.s.log.Printf("msg=agent state=asked addr=%s out=%d stale=%t", addr, len(k.Out), k.Stale)
 }
 
 func askAgent(addr, name, start string) (k known, err error) {
