Tests of several processes: a late call of an old owner, a leader cut off, all agents killed

Need: hard cases of the fleet's record as tests of their own, on real processes with relays between them. Each waits for states.

--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
+
+	"shalebeam/agent"
+	"shalebeam/fleet"
 )
 
 // Programs are built once for all tests here, with the tag faults: what is played against are real processes.
@@ -52,3 +57,120 @@
 		t.Logf("seed %d: %d operations, %d by all, %d open, healed in %.1f s", seed+1, r.Ops, r.Yes, r.Open, r.Healed)
 	}
 }
+
+func clean(t *testing.T, r *Report) {
+	t.Helper()
+	for _, b := range r.Breaks {
+		t.Error(b)
+	}
+}
+
+// An owner's call lies in a stalled link; the owner stands still for longer than its term; a successor closes its number
+// and takes the worker back in; then the link delivers, and the old owner wakes. Nothing of it counts any more.
+func TestLateCallOfAnOldOwner(t *testing.T) {
+	t.Parallel()
+	r := played(t, Options{Seed: 11, Agents: 3, Act: func(d *Day) {
+		old, fence := d.Owner("a")
+		worker := d.WorkerIn("a")
+		d.Link(fmt.Sprint("a", old), "s0", Stalled, Stalled)
+		if d.Worker(0, worker, true, d.addrs(nil), time.Second) {
+			d.Break("all obeyed, and one can't be reached")
+		}
+		d.Still(old, 5*time.Second)
+		others := []string{}
+		for i := range d.agents {
+			if i != old {
+				others = append(others, d.At(i)...)
+			}
+		}
+		d.Until("a successor", func() bool {
+			now, higher := d.Owner("a")
+			return now >= 0 && now != old && higher > fence
+		})
+		d.Worker(0, worker, false, others, 0)
+		d.Until("the successor has told s0", func() bool {
+			return d.Number(0, "zone/a") > fence
+		})
+		d.Link(fmt.Sprint("a", old), "s0", Whole, Whole)
+		time.Sleep(4 * time.Second) // the old owner wakes meanwhile
+	}})
+	clean(t, r)
+	if r.Postings == 0 {
+		t.Error("no load")
+	}
+}
+
+// The leader and nobody else are cut off from the rest, for long: what is asked of it is refused, soon and with the
+// reason, what is asked of the others goes on, and schedulers serve throughout. A command that was sent to both is
+// carried out once.
+func TestLeaderCutOff(t *testing.T) {
+	t.Parallel()
+	r := played(t, Options{Seed: 12, Act: func(d *Day) {
+		lead := -1
+		d.Until("a leader", func() bool {
+			for i := range d.agents {
+				var s agent.Status
+				if (&agent.Caller{HTTP: d.http, Addrs: d.At(i)}).Get(d.ctx, "/v1/status", &s) == nil && s.Leads {
+					lead = i
+				}
+			}
+			return lead >= 0
+		})
+		d.Links(lead, Gone, Gone)
+		c := fleet.Command{Caller: "both", Number: 1, Do: "out", ID: "x5", Zone: "a", By: "ann", Why: "caller both"}
+		if a, err := d.Ask(lead, c); err == nil && a.Done {
+			d.Break("a leader that is cut off said yes")
+		}
+		d.Until("it refuses at once", func() bool {
+			began := time.Now()
+			_, err := d.Ask(lead, fleet.Command{Caller: "late", Number: 1, Do: "out", ID: "x6", Zone: "a", By: "ann"})
+			var no *agent.Refusal
+			return errors.As(err, &no) && no.Status == 503 && time.Since(began) < time.Second
+		})
+		other := (lead + 1) % len(d.agents)
+		d.Until("the others go on", func() bool {
+			a, err := d.Ask(other, c)
+			return err == nil && a.Done
+		})
+		d.Worker(0, d.WorkerIn("b"), true, d.At(other), 5*time.Second)
+		time.Sleep(time.Second)
+		d.Links(lead, Whole, Whole)
+		d.Until("it follows", func() bool {
+			a, err := d.Ask(lead, c)
+			return err == nil && a.Done
+		})
+	}})
+	clean(t, r)
+}
+
+// All agents are killed at once, and come back with their disks; one more is gone for good, and is replaced by a new one.
+// What was answered stays, and schedulers that were started again meanwhile are told anew.
+func TestAllAgentsKilledAtOnce(t *testing.T) {
+	t.Parallel()
+	r := played(t, Options{Seed: 13, Act: func(d *Day) {
+		worker := d.WorkerIn("a")
+		d.Worker(0, worker, true, d.addrs(nil), 10*time.Second)
+		for i := range d.agents {
+			d.Kill(i)
+		}
+		d.live.Kill(1, 500*time.Millisecond)
+		time.Sleep(time.Second)
+		for i := range d.agents {
+			d.Start(i)
+		}
+		d.Until("all obey again", func() bool { return d.Obeyed(worker, d.addrs(nil)) })
+		old := d.agents[2].copyLog()
+		d.Worker(0, d.WorkerIn("b"), true, d.addrs(nil), 10*time.Second)
+		d.Kill(2)
+		if err := d.agents[2].putLog(old); err != nil {
+			d.Break("%v", err)
+		}
+		d.Start(2)
+		d.Until("the older disk is found out, and its voter replaced", func() bool {
+			r, err := d.read(d.ctx)
+			return err == nil && r.Voters[3] == "" && len(r.Voters) == 3
+		})
+		d.Worker(0, worker, false, d.addrs(nil), 0)
+	}})
+	clean(t, r)
+}
--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -182,7 +182,7 @@
 		}
 	}
 	var failed error
-	got, err := live.Play(d.ctx, p, opt.Seed, live.Options{Program: opt.Program, Dir: filepath.Join(d.dir, "schedulers"),
+	got, err := live.Play(d.ctx, p, opt.Seed, live.Options{Program: opt.Program, Env: []string{"SHALEBEAM_BUG=" + opt.Bug}, Dir: filepath.Join(d.dir, "schedulers"),
 		Agent: func(no int) string { return d.agents[no%len(d.agents)].file.Listen },
 		Fleet: func(f *live.Fleet) func() {
 			d.live = f
@@ -824,3 +824,67 @@
 // Bugs are those that can be planted, in a build with the tag faults.
 var Bugs = []string{"no-fence", "not-closed", "wall-clock", "new-leader-hurries", "yes-before-sync", "stale-read", "retry-twice",
 	"old-disk-votes", "torn-whole", "restart-untold", "former-start"}
+
+// Owner is the number of the agent that owns a zone's matter, by the record, and the matter's own number; -1 for none.
+func (d *day) Owner(zone string) (no int, fence uint64) {
+	r, err := d.read(d.ctx)
+	if err != nil {
+		return -1, 0
+	}
+	m := r.Matters[fleet.MatterOf(zone)]
+	for i, p := range d.agents {
+		if fleet.AgentOf(m.Owner) == p.file.Name {
+			return i, m.Fence
+		}
+	}
+	return -1, m.Fence
+}
+
+// Until waits for a state.
+func (d *day) Until(what string, ok func() bool) {
+	if err := d.await(20*time.Second, what, func() error {
+		if ok() {
+			return nil
+		}
+		return errors.New("not yet")
+	}); err != nil {
+		d.broke("%v", err)
+	}
+}
+
+// Break has the day named as broken.
+func (d *day) Break(format string, args ...any) { d.broke(format, args...) }
+
+// At is where one agent is asked.
+func (d *day) At(no int) []string { return []string{d.agents[no].file.Listen} }
+
+// WorkerIn is a worker of a zone.
+func (d *day) WorkerIn(zone string) string {
+	all := d.live.Workers()
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		if all[id] == zone {
+			return id
+		}
+	}
+	return ""
+}
+
+// Member is a scheduler as others reach it, and its log.
+func (d *day) Member(no int) live.Member { return d.live.Schedulers()[no] }
+
+// Number is the highest of a matter that a scheduler has seen, as it says itself.
+func (d *day) Number(no int, matter string) uint64 {
+	var k struct{ Fences map[string]uint64 }
+	if err := (&agent.Caller{HTTP: d.http, Addrs: []string{d.Member(no).Mgmt}}).Get(d.ctx, "/ops/fence", &k); err != nil {
+		return 0
+	}
+	return k.Fences[matter]
+}
+
+// Ask sends one command to one agent, once.
+func (d *day) Ask(no int, c fleet.Command) (a fleet.Answer, err error) {
+	ctx, stop := context.WithTimeout(d.ctx, 4*time.Second)
+	defer stop()
+	c.V = fleet.Form
+	return (&agent.Caller{HTTP: agent.NewHTTP(nil, 3*time.Second), Addrs: d.At(no)}).Do(ctx, c)
+}
--- a/lab/live/world.go
+++ b/lab/live/world.go
@@ -51,6 +51,7 @@
 	Outcome  func(j *load.Job)     // each job that is over
 	Guests   bool                  // workers also serve what did not come by the plan
 	Agent    func(no int) string   // the address of a scheduler's agent, for its configuration
+	Env      []string              // more of the schedulers' environment
 	// Fleet is called once all schedulers serve; what it returns is waited for before they are ended.
 	Fleet func(f *Fleet) (wait func())
 }
