A fleet's call carries its change: an owner's own older call that comes late is refused

One owner's 'down' lay in a link for up to 4 s, was given up and sent again with a yes; its 'up' was told and confirmed; then the first 'down' arrived. Number and start were in force, so it counted, and the owner held the worker for told. The other way round a late 'up' would have put a worker back in use after the yes to 'down'. Ruled out: a restart (the start was the same), another owner (one number all along). At fault: scheduler/fleet.go, passes, which knew owners apart and not their calls.

Each call on a worker now names the record's change; a scheduler keeps the last of each worker and refuses older ones with 409. A case in the fenced calls' test fails without it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -349,6 +349,7 @@
 	if call.Act != fleet.Look {
 		q.Header.Set("Fleet-Fence", fmt.Sprint(call.Matter, " ", call.Fence))
 		q.Header.Set("Fleet-Start", call.Start)
+		q.Header.Set("Fleet-Change", strconv.FormatUint(call.Since, 10))
 	}
 	p, err := a.http.Do(q)
 	if err != nil {
--- a/cmd/shalebeam/fleet_test.go
+++ b/cmd/shalebeam/fleet_test.go
@@ -21,6 +21,10 @@
 	if start != "" {
 		q.Header.Set("Fleet-Start", start)
 	}
+	if path, change, ok := strings.Cut(path, "?"); ok {
+		q.URL.Path, q.URL.RawQuery = path, ""
+		q.Header.Set("Fleet-Change", change)
+	}
 	r, err := http.DefaultClient.Do(q)
 	if err != nil {
 		t.Fatal(err)
@@ -71,6 +75,12 @@
 		{"/ops/workers/up", "w1", "zone/a", k.Start, 400, "fleet-fence"},
 		{"/ops/workers/up", "w1", "zone/a 0", k.Start, 400, "fleet-fence"},
 		{"/ops/fence", "", "zone/a 4", k.Start, 409, "fence zone/a 5"},
+		// One owner's own calls, the older of which arrives late: its number is in force, and the change is not.
+		{"/ops/workers/down?20", "w8", "zone/a 5", k.Start, 200, "done"},
+		{"/ops/workers/down?22", "w8", "zone/a 5", k.Start, 200, "so already"},
+		{"/ops/workers/up?21", "w8", "zone/a 5", k.Start, 409, "change 22"},
+		{"/ops/workers/up?23", "w8", "zone/a 5", k.Start, 200, "done"},
+		{"/ops/workers/down?22", "w8", "zone/a 5", k.Start, 409, "change 23"},
 	} {
 		if got, text := toldBy(t, addr, c.path, c.body, c.fence, c.start); got != c.want || !strings.Contains(text, c.says) {
 			t.Errorf("case %d, %s %s: got %d %q, want %d %q", i, c.path, c.fence, got, text, c.want, c.says)
--- a/lab/council/council.go
+++ b/lab/council/council.go
@@ -106,6 +106,7 @@
 	start int
 	high  map[string]uint64
 	out   map[string]string
+	last  map[string]uint64 // the fleet's last change of each worker
 }
 
 type world struct {
@@ -161,7 +162,7 @@
 	}
 	for i := range o.Schedulers {
 		w.targets = append(w.targets, &target{Member: fleet.Member{ID: fmt.Sprint("s", i), Kind: "scheduler",
-			Zone: []string{"a", "b"}[i%2], Addr: fmt.Sprint("s", i)}, high: map[string]uint64{}, out: map[string]string{}})
+			Zone: []string{"a", "b"}[i%2], Addr: fmt.Sprint("s", i)}, high: map[string]uint64{}, out: map[string]string{}, last: map[string]uint64{}})
 	}
 	w.victim = w.r.IntN(o.Voters)
 	w.members()
@@ -496,8 +497,14 @@
 		}
 		w.broke("%s took number %d of %s after %d", t.ID, c.Fence, c.Matter, t.high[c.Matter])
 	}
+	if c.Act == fleet.Tell && c.Since < t.last[c.Worker] && w.o.Bug != "no-change" {
+		w.got.Refused++
+		r.Why = "change"
+		return r
+	}
 	t.high[c.Matter] = max(c.Fence, t.high[c.Matter])
 	if r.Done, r.Fence = true, c.Fence; c.Act == fleet.Tell {
+		t.last[c.Worker] = c.Since
 		if t.out[c.Worker] = c.Matter; !c.Out {
 			delete(t.out, c.Worker)
 		}
@@ -561,7 +568,7 @@
 		w.later(span, func() { w.loss = 0 })
 	case 7:
 		t := w.targets[w.r.IntN(len(w.targets))]
-		t.start, t.high, t.out = t.start+1, map[string]uint64{}, map[string]string{}
+		t.start, t.high, t.out, t.last = t.start+1, map[string]uint64{}, map[string]string{}, map[string]uint64{}
 		// It asks its agent first, which reads for sure; where nobody can be read it goes on without.
 		if lead := w.leader(); lead != nil && w.r.IntN(4) > 0 {
 			for name, m := range lead.node.Record.Matters {
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -21,8 +21,9 @@
 const (
 	fenceField  = "fleet-fence" // MATTER NUMBER
 	startField  = "fleet-start"
-	mostMatters = 256  // that a number is kept of; the fleet has one a zone
-	mostStaffed = 4096 // workers of which it is kept that they are out; told by the fleet before the list names them
+	changeField = "fleet-change" // the number of the change on record, of a call on a worker
+	mostMatters = 256            // that a number is kept of; the fleet has one a zone
+	mostStaffed = 4096           // workers of which it is kept that they are out; told by the fleet before the list names them
 	agentMost   = 2 * time.Second
 	agentBytes  = 1 << 20
 )
@@ -32,6 +33,7 @@
 	matter string
 	number uint64
 	start  string
+	change uint64
 }
 
 // fleet is what this scheduler keeps of it.
@@ -59,7 +61,13 @@
 	if !ok {
 		return nil, fmt.Errorf("fleet-start is missing")
 	}
-	return &fenced{matter, n, start}, nil
+	c := &fenced{matter: matter, number: n, start: start}
+	if text, ok := q.Fields().Get(changeField); ok {
+		if c.change, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return nil, fmt.Errorf("fleet-change is to be a number")
+		}
+	}
+	return c, nil
 }
 
 // passes tells whether such a call counts, else how it is answered.
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -305,6 +305,9 @@
 	Since float64 `json:"since"`
 	Back  float64 `json:"back,omitempty"`
 	Fleet string  `json:"fleet,omitempty"` // the matter by which the fleet took it out, "" where staff did
+	// Change is the fleet's last one of this worker. An owner's own older call may arrive after a newer one, and the number
+	// of its matter is the same.
+	Change uint64 `json:"change,omitempty"`
 }
 
 type records struct {
@@ -401,7 +404,7 @@
 		return nil
 	}
 	for id, o := range all.Workers {
-		if o.Back > 0 && now > o.Back+keptOut {
+		if o.Back > 0 && now > o.Back+keptOut && (o.Change == 0 || len(all.Workers) > mostStaffed/2) {
 			delete(all.Workers, id)
 		}
 	}
--- a/scheduler/ops.go
+++ b/scheduler/ops.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"time"
@@ -185,23 +186,31 @@
 	var r record
 	status, body = o.change(by, func(in *records) (int, string) {
 		r = in.Workers[id]
-		matter, now := "", o.s.now()
+		matter, change, now := "", r.Change, o.s.now()
 		if by != nil {
 			matter = by.matter
+			if by.change < r.Change && !planted("no-change") {
+				return 409, fmt.Sprintf("change %d\n", r.Change)
+			}
+			change = by.change
 		}
 		switch out := path == "/ops/workers/down"; {
 		case out == r.out():
+			if r.Fleet == matter {
+				r.Change = change
+				in.Workers[id] = r
+			}
 			return 200, "so already\n"
 		case out && r.Since == 0 && len(in.Workers) >= mostStaffed:
 			return 503, "no room for one more worker\n"
 		case out:
-			r = record{Since: now, Fleet: matter}
+			r = record{Since: now, Fleet: matter, Change: change}
 		case r.Fleet != matter && r.Fleet != "":
 			return 409, "the fleet took it out: " + r.Fleet + "\n"
 		case r.Fleet != matter:
 			return 409, "staff took it out here\n"
 		default:
-			r.Back = now
+			r.Back, r.Change = now, change
 		}
 		in.Workers[id] = r
 		return 200, "done\n"
@@ -219,6 +228,9 @@
 func (o *ops) set(id string, r record) {
 	was := o.staffed[id]
 	if r.at() <= was.at() {
+		if r.at() == was.at() && r.Change > was.Change {
+			o.staffed[id] = r
+		}
 		return
 	}
 	o.staffed[id] = r
