--- a/agent/agent.go
+++ b/agent/agent.go
@@ -269,7 +269,10 @@
 		}
 		if !a.asking[name] && c.hold.NextRenewal(now) {
 			a.ask(ctx, name, fleet.Command{Do: "renew", Matter: name, Owner: a.owner, Fence: c.hold.Fence},
-				func(got fleet.Answer, err error) { c.hold.Renewed(err == nil && got.Done) })
+				func(got fleet.Answer, err error) {
+					c.hold.Renewed(err == nil && got.Done)
+					a.log.Debug("renewed", "matter", name, "fence", c.hold.Fence, "left", c.hold.Until()-a.clock.Now())
+				})
 		}
 		c.teller.Follow(a.rec.Of("scheduler"), a.rec.Workers, c.zone)
 		for c.calls < callsMost {
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		wait := float64(rank) * d.Term / 4
-		if m.Owner != "" {
+		if m.Owner != "" && !d.Hurry {
 			wait += leaderPart * m.Term
 		}
 		switch {
@@ -112,7 +112,7 @@
 		case m.Wanted != "" && m.Wanted != d.Agent:
 			wait += 2 * d.Term
 		}
-		if now < was.at+wait && !d.Hurry {
+		if now < was.at+wait {
 			continue
 		}
 		d.asked[name] = now
--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -83,7 +83,13 @@
 // Day is what a test of its own acts on.
 type Day struct{ *day }
 
-const term = time.Second
+// term is that of claims: on a third of the days longer than it takes to choose a leader.
+func (d *day) term() time.Duration {
+	if d.opt.Seed%3 == 0 || d.opt.Bug == "new-leader-hurries" {
+		return 4 * time.Second
+	}
+	return time.Second
+}
 
 func (o *Options) fill() {
 	if o.Voters == 0 {
@@ -222,7 +228,7 @@
 			return err
 		}
 		p := &proc{d: d, no: i, file: agent.File{Name: fmt.Sprint("a", i), Zone: []string{"a", "b"}[i%2], Listen: addr,
-			Term: agent.Span(term), Via: map[string]string{}}}
+			Term: agent.Span(d.term()), Via: map[string]string{}}}
 		p.file.Data = filepath.Join(d.dir, p.file.Name)
 		d.agents = append(d.agents, p)
 		if i < d.opt.Voters {
@@ -347,7 +353,7 @@
 		return nil
 	}
 	// Owners may have to wait for a term, and a new leader for another; then all know within ten seconds.
-	if err := d.await(3*term+10*time.Second, "every scheduler knows who is out", d.allKnow); err != nil {
+	if err := d.await(3*d.term()+10*time.Second, "every scheduler knows who is out", d.allKnow); err != nil {
 		d.broke("%v", err)
 	}
 	d.rep.Healed = time.Since(healed).Seconds()
@@ -605,7 +611,7 @@
 				d.rest(span / 2)
 				_ = p.start()
 			case 4, 5:
-				still := min(span, 3*term)
+				still := min(span, 3*d.term())
 				d.say("%s stands still for %v", p.file.Name, still)
 				p.still(still)
 				d.rest(still)
@@ -637,7 +643,7 @@
 					_ = o.start()
 				}
 			case 11:
-				d.late([]string{"a", "b"}[r.IntN(2)], max(span, 2*term))
+				d.late([]string{"a", "b"}[r.IntN(2)], max(span, 2*d.term()))
 			case 10:
 				d.mu.Lock()
 				mine := !disk
--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -143,6 +143,8 @@
 var (
 	tookIt  = regexp.MustCompile(`msg=told id="(.*?)" out=(\w+) matter="(.*?)" number=(\d+)`)
 	fenceIt = regexp.MustCompile(`msg=fence matter="(.*?)" number=(\d+)`)
+	heldIt  = regexp.MustCompile(`msg=renewed matter=(\S+) fence=(\d+) left=([-0-9.e+]+)`)
+	ownedIt = regexp.MustCompile(`msg="matter owned" matter=(\S+) fence=(\d+)`)
 	startIt = regexp.MustCompile(`msg=listening `)
 	callsIt = regexp.MustCompile(`^time=(\S+) .*msg=calls scheduler=(\S+) act=(\d) matter=(\S+) fence=(\d+)`)
 )
@@ -252,11 +254,41 @@
 		to     string
 	}
 	all := map[string][]act{}
+	type hold struct {
+		until  time.Time
+		who    string
+		passed bool
+	}
+	holds, began := map[string]map[uint64]*hold{}, map[string]map[uint64]time.Time{}
+	of := func(matter string, n uint64) *hold {
+		if holds[matter] == nil {
+			holds[matter], began[matter] = map[uint64]*hold{}, map[uint64]time.Time{}
+		}
+		if holds[matter][n] == nil {
+			holds[matter][n] = &hold{}
+		}
+		return holds[matter][n]
+	}
 	for _, p := range d.agents {
 		lines(p.path(".log"), func(line string) {
 			if strings.Contains(line, "panic") {
 				d.broke("%s: %s", p.file.Name, line)
 			}
+			at, _ := time.Parse(time.RFC3339Nano, strings.TrimPrefix(strings.SplitN(line, " ", 2)[0], "time="))
+			if x := heldIt.FindStringSubmatch(line); x != nil {
+				n, _ := strconv.ParseUint(x[2], 10, 64)
+				left, _ := strconv.ParseFloat(x[3], 64)
+				h := of(x[1], n)
+				// By a clock that is a tenth slow or fast at the most, it holds for so long at the least.
+				if until := at.Add(time.Duration(left * 0.9 * float64(time.Millisecond))); left > 0 && until.After(h.until) {
+					h.until, h.who = until, p.file.Name
+				}
+			}
+			if x := ownedIt.FindStringSubmatch(line); x != nil {
+				n, _ := strconv.ParseUint(x[2], 10, 64)
+				of(x[1], n)
+				began[x[1]][n] = at
+			}
 			if x := callsIt.FindStringSubmatch(line); x != nil {
 				at, _ := time.Parse(time.RFC3339Nano, x[1])
 				n, _ := strconv.ParseUint(x[5], 10, 64)
@@ -264,12 +296,21 @@
 			}
 		})
 	}
+	for matter, owned := range began {
+		for n, at := range owned {
+			// What was passed on by itself, or belonged to a process that was killed, is free before its time.
+			if h := holds[matter][n-1]; h != nil && at.Before(h.until) && !d.died(h.who, at) && !left(r, matter, h.who) {
+				d.broke("%s: number %d began at %s, and %s held number %d until %s", matter, n, at.Format("05.000"), h.who, n-1,
+					h.until.Format("05.000"))
+			}
+		}
+	}
 	for matter, acts := range all {
 		sort.SliceStable(acts, func(i, j int) bool { return acts[i].at.Before(acts[j].at) })
 		high := act{}
 		closed := map[string]uint64{}
 		for _, a := range acts {
-			if a.number < high.number && !a.p.wasStill(a.at, 3*term) {
+			if a.number < high.number && !a.p.wasStill(a.at, 3*d.term()) {
 				d.broke("%s: %s acted by number %d at %s, after %s had begun by %d at %s", matter, a.p.file.Name, a.number,
 					a.at.Format("05.000"), high.p.file.Name, high.number, high.at.Format("05.000"))
 				return
@@ -288,5 +329,30 @@
 			}
 		}
 	}
-	_ = r
+}
+
+// left tells whether an agent ever passed a matter on: it is free then before the time of its hold.
+func left(r *fleet.Record, matter, agent string) bool {
+	for _, row := range r.Rows {
+		if row.What == "left" && strings.HasPrefix(row.Of, matter+" "+agent+"#") {
+			return true
+		}
+	}
+	return false
+}
+
+// died tells whether an agent was started anew in the term before at: what it held ended with its process.
+func (d *day) died(name string, at time.Time) (yes bool) {
+	for _, p := range d.agents {
+		if p.file.Name != name {
+			continue
+		}
+		lines(p.path(".log"), func(line string) {
+			if strings.Contains(line, `msg="agent runs"`) {
+				t, _ := time.Parse(time.RFC3339Nano, strings.TrimPrefix(strings.SplitN(line, " ", 2)[0], "time="))
+				yes = yes || t.After(at.Add(-2*d.term())) && t.Before(at.Add(10*d.term()))
+			}
+		})
+	}
+	return yes
 }
--- a/lab/council/council.go
+++ b/lab/council/council.go
@@ -130,12 +130,10 @@
 	victim  int
 	spoilt  bool
 	starts  uint64
+	term    float64 // of claims: shorter than it takes to choose a leader, or longer
 }
 
-const (
-	term = 1000.0
-	step = 50.0
-)
+const step = 50.0
 
 // Play plays one run. The agreement draws its times from the system's own source of chance, which stands for the time of
 // the run under the seed as well: so one process plays one run at a time.
@@ -147,6 +145,9 @@
 	defer func() { cryptorand.Reader = own }()
 	w := &world{o: o, r: rand.New(rand.NewPCG(o.Seed, 11)), cut: map[string]bool{}, first: map[uint64]string{},
 		applied: map[uint64]uint32{}, yes: map[string]uint64{}, nextID: 100}
+	if w.term = 1000; o.Seed%4 < 2 {
+		w.term = 4000
+	}
 	for i := range o.Voters {
 		w.first[uint64(i+1)] = fmt.Sprint("v", i+1)
 	}
@@ -213,7 +214,7 @@
 func (w *world) begin(a *owner) {
 	a.start++
 	a.up, a.rec, a.has, a.busy = true, fleet.NewRecord(), map[string]*charge{}, map[string]bool{}
-	a.duty = fleet.NewDuty(a.id, fmt.Sprint(a.start), term)
+	a.duty = fleet.NewDuty(a.id, fmt.Sprint(a.start), w.term)
 	a.duty.Hurry = w.o.Bug == "new-leader-hurries"
 }
 
@@ -392,7 +393,12 @@
 			if got.Done {
 				w.note("owned %s %s %d", a.id, c.Matter, got.Fence)
 				w.got.Owners++
-				a.has[c.Matter] = &charge{hold: fleet.Held(now, got.Fence, term), teller: fleet.NewTeller(c.Matter, got.Fence),
+				for _, o := range w.owners {
+					if h := o.has[c.Matter]; o != a && o.up && o.still <= w.now && h != nil && h.hold.Holds(o.clock.at(w.now)) {
+						w.broke("%s claimed %s, and %s still held it", a.id, c.Matter, o.id)
+					}
+				}
+				a.has[c.Matter] = &charge{hold: fleet.Held(now, got.Fence, w.term), teller: fleet.NewTeller(c.Matter, got.Fence),
 					zone: c.Matter[len("zone/"):]}
 				a.has[c.Matter].teller.Bug = w.o.Bug
 			}
