A new leader that hurries is planted as such; an agent's end is known to who judges holds

Need: the planted hurry hung on a clock far in the past and did nothing in a process's first seconds.

--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -103,9 +103,12 @@
 			continue
 		}
 		wait := float64(rank) * d.Term / 4
-		if m.Owner != "" && !d.Hurry {
+		if m.Owner != "" {
 			wait += leaderPart * m.Term
 		}
+		if d.Hurry {
+			wait = 0
+		}
 		switch {
 		case m.Wanted == d.Agent && m.Owner == "":
 			wait = 0
--- a/fleet/terms.go
+++ b/fleet/terms.go
@@ -51,13 +51,16 @@
 	leads bool
 	ledAt float64
 	seen  map[string]float64
+	Hurry bool // a bug planted by a test of what finds it: a new leader does not wait
 }
 
 // Leads tells that this process leads from now on.
-func (k *Keeper) Leads(now float64) { *k = Keeper{leads: true, ledAt: now, seen: map[string]float64{}} }
+func (k *Keeper) Leads(now float64) {
+	*k = Keeper{leads: true, ledAt: now, seen: map[string]float64{}, Hurry: k.Hurry}
+}
 
 // Follows tells that it does not lead any more.
-func (k *Keeper) Follows() { *k = Keeper{} }
+func (k *Keeper) Follows() { *k = Keeper{Hurry: k.Hurry} }
 
 // Applied takes that a claim or renewal of a matter was carried out.
 func (k *Keeper) Applied(now float64, matter string) {
@@ -71,7 +74,7 @@
 	if !k.leads {
 		return false
 	}
-	if m.Owner == "" {
+	if _, saw := k.seen[matter]; m.Owner == "" || k.Hurry && !saw {
 		return true
 	}
 	return now >= max(k.ledAt, k.seen[matter])+leaderPart*m.Term
--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -341,18 +341,17 @@
 	return false
 }
 
-// died tells whether an agent was started anew in the term before at: what it held ended with its process.
-func (d *day) died(name string, at time.Time) (yes bool) {
+// died tells whether an agent's process ended in the time before at: what it held ended with it.
+func (d *day) died(name string, at time.Time) bool {
 	for _, p := range d.agents {
-		if p.file.Name != name {
-			continue
-		}
-		lines(p.path(".log"), func(line string) {
-			if strings.Contains(line, `msg="agent runs"`) {
-				t, _ := time.Parse(time.RFC3339Nano, strings.TrimPrefix(strings.SplitN(line, " ", 2)[0], "time="))
-				yes = yes || t.After(at.Add(-2*d.term())) && t.Before(at.Add(10*d.term()))
+		p.mu.Lock()
+		for _, end := range p.ends {
+			if p.file.Name == name && end.Before(at) && end.After(at.Add(-2*d.term())) {
+				p.mu.Unlock()
+				return true
 			}
-		})
+		}
+		p.mu.Unlock()
 	}
-	return yes
+	return false
 }
--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -26,6 +26,7 @@
 	ended  chan struct{}
 	killed bool
 	stills []span // when it was made to stand still
+	ends   []time.Time
 	last   error
 }
 
@@ -79,6 +80,7 @@
 		log.Close()
 		p.mu.Lock()
 		p.cmd, p.last = nil, err
+		p.ends = append(p.ends, time.Now())
 		fell := !p.killed && p.d.ctx.Err() == nil
 		p.mu.Unlock()
 		close(ended)
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -460,10 +460,8 @@
 			n.leader = r.SoftState.Lead
 			if leads := r.SoftState.RaftState == raft.StateLeader; leads != n.leads {
 				if n.leads = leads; leads {
+					n.Keeper.Hurry = n.o.Bug == "new-leader-hurries"
 					n.Keeper.Leads(now)
-					if n.o.Bug == "new-leader-hurries" {
-						n.Keeper.Leads(now - 1e9)
-					}
 				} else {
 					n.Keeper.Follows()
 				}
