One voter is not replaced twice in the simulated record

The lab's person replaced a voter by 101 and, as the mark of it was lost with a kill, by 102 too: 101 was on record and never came, and 102 spoke for voter 3. Ruled out: the voters (2 waits for 101's word rightly). At fault: lab/council, replace.

--- a/lab/council/council.go
+++ b/lab/council/council.go
@@ -75,6 +75,7 @@
 	still   float64 // until when it stands still
 	join    bool
 	replace uint64
+	going   bool   // a new one is about to come in its place
 	seen    uint64 // the command after which its record was last looked at
 	waits   map[string]func(fleet.Answer)
 	kept    []quorum.Letter // that came while it stood still
@@ -297,7 +298,7 @@
 			_ = v.node.Tick()
 			w.work(v)
 		}
-		if v.node.Behind() && !w.replacing(v) {
+		if v.node.Behind() && !v.going {
 			w.replace(v)
 		}
 	}
@@ -614,11 +615,9 @@
 	w.open(v)
 }
 
-func (w *world) replacing(v *voter) bool { return v.waits["replacing"] != nil }
-
 // replace has a person put a new voter in the place of one whose disk is known to lack something.
 func (w *world) replace(v *voter) {
-	v.waits["replacing"] = func(fleet.Answer) {}
+	v.going = true // one voter is not replaced twice, by two new ones of which one never comes
 	w.got.Replaced++
 	w.nextID++
 	id, old := w.nextID, v.id
@@ -642,7 +641,7 @@
 	}
 	ask()
 	w.later(2000, func() {
-		v.id, v.join, v.replace, v.disk = id, true, old, newDisk()
+		v.id, v.join, v.replace, v.disk, v.going = id, true, old, newDisk(), false
 		v.waits = map[string]func(fleet.Answer){}
 		w.open(v)
 		w.spoilt = false
