One disk in memory for tests and simulated time; leftovers taken out

Seen on reading the change once more: the same disk in memory stood in quorum's tests and in lab/council, a time that no voter reads was handed to it, and a few names did nothing. Now quorum.Memory serves both.

--- a/cmd/beamctl/main.go
+++ b/cmd/beamctl/main.go
@@ -25,9 +25,8 @@
 	"shalebeam/fleet"
 )
 
-// Exit codes: all obeyed, some did, none did or it was refused, nobody could say.
+// Exit codes, beside 0 where all obeyed: some did, none did or it was refused, nobody could say.
 const (
-	all     = 0
 	some    = 1
 	none    = 2
 	unknown = 3
@@ -453,5 +452,4 @@
 		os.Exit(e.code)
 	}
 	k.FatalIfErrorf(err)
-	_ = all
 }
--- a/lab/council/council.go
+++ b/lab/council/council.go
@@ -13,7 +13,6 @@
 	"hash/crc32"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
 
 	"shalebeam/fleet"
@@ -70,7 +69,7 @@
 type voter struct {
 	id      uint64
 	node    *quorum.Node
-	disk    *disk
+	disk    *quorum.Memory
 	clock   clock
 	still   float64 // until when it stands still
 	join    bool
@@ -153,7 +152,7 @@
 		w.first[uint64(i+1)] = fmt.Sprint("v", i+1)
 	}
 	for i := range o.Voters {
-		v := &voter{id: uint64(i + 1), disk: newDisk(), clock: w.clock(), waits: map[string]func(fleet.Answer){}}
+		v := &voter{id: uint64(i + 1), disk: quorum.NewMemory(), clock: w.clock(), waits: map[string]func(fleet.Answer){}}
 		w.voters = append(w.voters, v)
 		w.open(v)
 	}
@@ -206,7 +205,7 @@
 func (w *world) open(v *voter) {
 	w.starts++
 	n, err := quorum.Open(quorum.Options{ID: v.id, Voters: w.first, Join: v.join, Replaces: v.replace, Disk: v.disk,
-		Start: w.starts, Now: v.clock.at(w.now), Bug: w.o.Bug})
+		Start: w.starts, Bug: w.o.Bug})
 	if v.node, v.kept = n, nil; err != nil {
 		w.broke("voter %d does not start: %v", v.id, err)
 	}
@@ -221,7 +220,6 @@
 
 // members puts all on record, from the lab's own hand.
 func (w *world) members() {
-	number := uint64(0)
 	var all []fleet.Member
 	for _, a := range w.owners[:min(len(w.owners), 300)] {
 		all = append(all, fleet.Member{ID: a.id, Kind: "agent", Zone: a.zone, Addr: a.id})
@@ -230,7 +228,6 @@
 		all = append(all, t.Member)
 	}
 	for _, m := range all {
-		number++
 		w.ask("lab", fleet.Command{Caller: "lab" + m.ID, Number: 1, Do: "member", Member: &m}, 1e9, func(fleet.Answer) {})
 	}
 }
@@ -451,7 +448,7 @@
 
 // call is one at a scheduler: what it says is decided when it comes there, however late.
 func (w *world) call(a *owner, c *charge, call fleet.Call) {
-	start, now := a.start, a.clock.at(w.now)
+	start := a.start
 	c.calls++
 	answered := false
 	answer := func(r fleet.Reply) {
@@ -461,7 +458,6 @@
 			c.teller.Answered(a.clock.at(w.now), call, r)
 		}
 	}
-	_ = now
 	w.later(1000, func() { answer(fleet.Reply{Why: "no answer"}) })
 	ms, ok := w.link(a.id, call.To.ID)
 	if !ok {
@@ -593,10 +589,10 @@
 		if x := w.voters[w.victim]; !w.spoilt && !x.node.Behind() {
 			w.spoilt = true
 			if w.r.IntN(2) == 0 {
-				x.disk.lies = true
+				x.disk.Lies = true
 				w.later(span, func() { w.kill(x) })
 			} else {
-				old := x.disk.copy()
+				old := x.disk.Copy()
 				w.later(span, func() {
 					x.disk = old
 					w.kill(x)
@@ -609,7 +605,7 @@
 
 func (w *world) kill(v *voter) {
 	w.note("kill %d", v.id)
-	v.disk.crash(w.r)
+	v.disk.Crash(w.r)
 	v.still = 0
 	v.waits = map[string]func(fleet.Answer){}
 	w.open(v)
@@ -641,7 +637,7 @@
 	}
 	ask()
 	w.later(2000, func() {
-		v.id, v.join, v.replace, v.disk, v.going = id, true, old, newDisk(), false
+		v.id, v.join, v.replace, v.disk, v.going = id, true, old, quorum.NewMemory(), false
 		v.waits = map[string]func(fleet.Answer){}
 		w.open(v)
 		w.spoilt = false
@@ -654,7 +650,7 @@
 	clear(w.cut)
 	for _, v := range w.voters {
 		v.still = 0
-		v.disk.lies = false
+		v.disk.Lies = false
 	}
 	for _, a := range w.owners {
 		if a.still = 0; !a.up {
@@ -725,75 +721,3 @@
 		}
 	}
 }
-
-// disk is one in memory: what was not synced is lost at a crash, and a lying sync keeps nothing.
-type disk struct {
-	files map[string]*file
-	lies  bool
-}
-
-type file struct {
-	d          *disk
-	kept, wait []byte
-}
-
-func newDisk() *disk { return &disk{files: map[string]*file{}} }
-
-func (d *disk) Read(name string) ([]byte, error) {
-	if f := d.files[name]; f != nil {
-		return append(slices.Clone(f.kept), f.wait...), nil
-	}
-	return nil, os.ErrNotExist
-}
-
-func (d *disk) Create(name string) (quorum.File, error) {
-	d.files[name] = &file{d: d}
-	return d.files[name], nil
-}
-
-func (d *disk) Append(name string) (quorum.File, error) {
-	if f := d.files[name]; f != nil {
-		return f, nil
-	}
-	return nil, os.ErrNotExist
-}
-
-func (d *disk) Rename(from, to string) error {
-	d.files[to] = d.files[from]
-	delete(d.files, from)
-	return nil
-}
-
-func (d *disk) copy() *disk {
-	c := newDisk()
-	for name, f := range d.files {
-		c.files[name] = &file{d: c, kept: slices.Clone(f.kept)}
-	}
-	return c
-}
-
-// crash loses what was not kept, but for some bytes of it.
-func (d *disk) crash(r *rand.Rand) {
-	for _, name := range slices.Sorted(maps.Keys(d.files)) {
-		f := d.files[name]
-		if len(f.wait) > 0 && r.IntN(2) == 0 {
-			f.kept = append(f.kept, f.wait[:r.IntN(len(f.wait))]...)
-		}
-		f.wait = nil
-	}
-	d.lies = false
-}
-
-func (f *file) Write(b []byte) (int, error) {
-	f.wait = append(f.wait, b...)
-	return len(b), nil
-}
-
-func (f *file) Sync() error {
-	if !f.d.lies {
-		f.kept, f.wait = append(f.kept, f.wait...), nil
-	}
-	return nil
-}
-
-func (f *file) Close() error { return nil }
--- a/quorum/host.go
+++ b/quorum/host.go
@@ -76,7 +76,6 @@
 // see Wait.
 // client carries its letters; it has a limit of time for each call.
 func NewHost(ctx context.Context, o Options, clock Clock, client *http.Client, l *slog.Logger) (*Host, error) {
-	o.Now = clock.Now()
 	n, err := Open(o)
 	if err != nil {
 		return nil, err
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -74,7 +74,6 @@
 	Trust    bool // a person says that this disk is whole: count without being told
 	Disk     Disk
 	Start    uint64 // tells this start from others
-	Now      float64
 	Bug      string // one planted, for tests of what finds it
 }
 
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -14,81 +13,6 @@
 	"shalebeam/fleet"
 )
 
-// memory is a disk in memory: what was not synced is lost at a crash, and a lying sync keeps nothing.
-type memory struct {
-	files map[string]*memFile
-	lies  bool
-	fails error
-}
-
-type memFile struct {
-	d          *memory
-	kept, wait []byte
-}
-
-func newMemory() *memory { return &memory{files: map[string]*memFile{}} }
-
-func (d *memory) Read(name string) ([]byte, error) {
-	if f := d.files[name]; f != nil {
-		return append(append([]byte{}, f.kept...), f.wait...), nil
-	}
-	return nil, os.ErrNotExist
-}
-
-func (d *memory) Create(name string) (File, error) {
-	d.files[name] = &memFile{d: d}
-	return d.files[name], nil
-}
-
-func (d *memory) Append(name string) (File, error) {
-	if f := d.files[name]; f != nil {
-		return f, nil
-	}
-	return nil, os.ErrNotExist
-}
-
-func (d *memory) Rename(from, to string) error {
-	d.files[to] = d.files[from]
-	delete(d.files, from)
-	return nil
-}
-
-func (f *memFile) Write(b []byte) (int, error) {
-	f.wait = append(f.wait, b...)
-	return len(b), nil
-}
-
-func (f *memFile) Sync() error {
-	if f.d.fails != nil {
-		return f.d.fails
-	}
-	if !f.d.lies {
-		f.kept, f.wait = append(f.kept, f.wait...), nil
-	}
-	return nil
-}
-
-func (f *memFile) Close() error { return nil }
-
-// crash loses what was not kept, but for some bytes of it.
-func (d *memory) crash(r *rand.Rand) {
-	for _, f := range d.files {
-		if len(f.wait) > 0 && r.IntN(2) == 0 {
-			f.kept = append(f.kept, f.wait[:r.IntN(len(f.wait))]...)
-		}
-		f.wait = nil
-	}
-	d.lies = false
-}
-
-func (d *memory) copy() *memory {
-	c := newMemory()
-	for name, f := range d.files {
-		c.files[name] = &memFile{d: c, kept: append([]byte{}, f.kept...)}
-	}
-	return c
-}
-
 func command(of string, number uint64, do, worker string) []byte {
 	raw, _ := json.Marshal(fleet.Command{V: 1, Caller: of, Number: number, Do: do, ID: worker, Zone: "a", By: of})
 	return raw
@@ -100,7 +24,7 @@
 	r     *rand.Rand
 	now   float64
 	first map[uint64]string
-	disks map[uint64]*memory
+	disks map[uint64]*Memory
 	nodes map[uint64]*Node
 	cut   map[[2]uint64]bool
 	post  []Letter
@@ -111,11 +35,11 @@
 }
 
 func newSet(t testing.TB, n int, seed uint64) *set {
-	s := &set{t: t, r: rand.New(rand.NewPCG(seed, 1)), first: map[uint64]string{}, disks: map[uint64]*memory{},
+	s := &set{t: t, r: rand.New(rand.NewPCG(seed, 1)), first: map[uint64]string{}, disks: map[uint64]*Memory{},
 		nodes: map[uint64]*Node{}, cut: map[[2]uint64]bool{}, done: map[string]fleet.Answer{}, errs: map[uint64]error{}}
 	for i := range uint64(n) {
 		s.first[i+1] = fmt.Sprint("v", i+1)
-		s.disks[i+1] = newMemory()
+		s.disks[i+1] = NewMemory()
 	}
 	for id := range s.first {
 		s.start(id, false)
@@ -136,7 +60,7 @@
 
 func (s *set) kill(id uint64) {
 	delete(s.nodes, id)
-	s.disks[id].crash(s.r)
+	s.disks[id].Crash(s.r)
 }
 
 // step is one tick of all and what follows from it.
@@ -228,7 +152,7 @@
 	// One is gone for good, and a new one joins under its own number.
 	gone := s.leader().o.ID%3 + 1
 	s.kill(gone)
-	s.disks[4] = newMemory()
+	s.disks[4] = NewMemory()
 	s.until("a leader", func() bool { return s.leader() != nil })
 	if err := s.leader().ProposeVoters(4, "v4", gone); err != nil {
 		t.Fatal(err)
@@ -279,13 +203,13 @@
 func TestDisksThatLie(t *testing.T) {
 	for name, spoil := range map[string]func(s *set, id uint64){
 		"sync lied": func(s *set, id uint64) {
-			s.disks[id].lies = true
+			s.disks[id].Lies = true
 			s.change("bob", 1, "out", "w2")
 			s.until("acknowledged", func() bool { return s.nodes[id].Record.Workers["w2"].Out })
 			s.kill(id)
 		},
 		"older copy": func(s *set, id uint64) {
-			old := s.disks[id].copy()
+			old := s.disks[id].Copy()
 			s.change("bob", 1, "out", "w2")
 			s.until("acknowledged", func() bool { return s.nodes[id].Record.Workers["w2"].Out })
 			s.kill(id)
@@ -293,7 +217,7 @@
 		},
 		"wiped": func(s *set, id uint64) {
 			s.kill(id)
-			s.disks[id] = newMemory()
+			s.disks[id] = NewMemory()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -333,7 +257,7 @@
 	s = newSet(t, 3, 5)
 	s.change("ann", 1, "out", "w1")
 	id = s.leader().o.ID
-	s.disks[id].fails = errors.New("EIO")
+	s.disks[id].Fails = errors.New("EIO")
 	_ = s.nodes[id].Propose(s.now, command("bob", 1, "out", "w2"))
 	s.until("it stops", func() bool { return s.errs[id] != nil })
 	s.change("cid", 1, "out", "w3")
@@ -382,7 +306,7 @@
 
 // The log reads back what was written, whatever byte it ends at, and takes no torn record as whole.
 func TestLogAtAnyByte(t *testing.T) {
-	d := newMemory()
+	d := NewMemory()
 	l, _, _ := openLog(d, "")
 	if err := l.anew(&pb.Snapshot{Data: []byte("x")}, nil, nil, nil); err != nil {
 		t.Fatal(err)
@@ -397,7 +321,7 @@
 	}
 	whole := d.files[logName].kept
 	for cut := base; cut <= len(whole); cut++ {
-		c := newMemory()
+		c := NewMemory()
 		c.files[logName] = &memFile{d: c, kept: whole[:cut]}
 		_, k, err := openLog(c, "")
 		want := 0
@@ -411,7 +335,7 @@
 		}
 	}
 	for at := base; at < ends[4]; at++ { // a flipped bit before the last record is rot, never another record
-		c := newMemory()
+		c := NewMemory()
 		c.files[logName] = &memFile{d: c, kept: append([]byte{}, whole...)}
 		c.files[logName].kept[at] ^= 16
 		if _, _, err := openLog(c, ""); !errors.Is(err, ErrRotten) {
