What lies in a stalled link arrives at whoever listens there later, as in a restart

Seen in the relay: it had a connection to the former process from the start on, which ended with it, so nothing of a held call could reach the next life. It is now made when the bytes are let through.

--- a/lab/cluster/relay.go
+++ b/lab/cluster/relay.go
@@ -112,7 +112,14 @@
 
 func (r *relay) join(c net.Conn, turn int) {
 	defer r.forget(c)
-	// What was sent into a stalled link is delivered when it is whole again, though its sender has long given up.
+	// What was sent into a stalled link is delivered when it is whole again, though its sender has long given up, and to
+	// whoever listens there by then: a process may have been started again meanwhile.
+	first := make([]byte, 32<<10)
+	n, err := c.Read(first)
+	if err != nil || r.wait(0, turn) == Gone {
+		reset(c)
+		return
+	}
 	s, err := net.DialTimeout("tcp", r.to, time.Second)
 	if err != nil {
 		reset(c)
@@ -125,9 +132,9 @@
 	back := make(chan struct{})
 	go func() {
 		defer close(back)
-		r.copy(1, turn, c, s)
+		r.copy(1, turn, nil, c, s)
 	}()
-	r.copy(0, turn, s, c)
+	r.copy(0, turn, first[:n], s, c)
 	<-back
 }
 
@@ -138,11 +145,15 @@
 	r.mu.Unlock()
 }
 
-// copy carries one direction until its end, which it passes on in its turn.
-func (r *relay) copy(way, turn int, to, from net.Conn) {
+// copy carries one direction until its end, which it passes on in its turn; first is what was read of it already.
+func (r *relay) copy(way, turn int, first []byte, to, from net.Conn) {
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := from.Read(buf)
+		n, err := len(first), error(nil)
+		if copy(buf, first); n == 0 {
+			n, err = from.Read(buf)
+		}
+		first = nil
 		for sent := 0; sent < n; {
 			k := n - sent
 			switch r.wait(way, turn) {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -97,8 +97,8 @@
 	need     Mark            // the furthest log that others told of at the start
 	toldBy   map[uint64]bool // those who have said what they saw of this one
 	toldTerm uint64
-	ledTerm  uint64 // the highest term whose leader has said what it saw of this one
-	toldAt   int    // the tick at which enough had said so
+	ledTerm  uint64            // the highest term whose leader has said what it saw of this one
+	toldAt   int               // the tick at which enough had said so
 	newer    map[uint64]string // who votes, where others told of a later change than this one knows
 	newerNo  uint64
 	ticks    int
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -378,7 +378,9 @@
 	for i := range uint64(4) {
 		s.change("bob", i+1, "out", fmt.Sprint("w", i))
 	}
-	s.until("acknowledged", func() bool { return s.nodes[id].last() == s.nodes[lead].last() && s.nodes[id].last().Index <= was.Index })
+	s.until("acknowledged", func() bool {
+		return s.nodes[id].last() == s.nodes[lead].last() && s.nodes[id].last().Index <= was.Index
+	})
 	sees := s.nodes[lead].marks[id]
 	s.kill(id)
 	// The copy is from after its vote for the one that leads now, and before any entry of that one's.
