--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,14 +54,16 @@
 	number uint64
 	heard  map[string]float64 // when each agent last asked, where this voter leads
 	asking map[string]bool    // matters of which a command is under way
+	runs   *runs              // the processes of this machine, and what was begun here
 }
 
 // charge is a matter that this agent owns.
 type charge struct {
-	zone   string
-	hold   *fleet.Hold
-	teller *fleet.Teller
-	calls  int
+	zone    string
+	hold    *fleet.Hold
+	teller  *fleet.Teller  // of a zone
+	carrier *fleet.Carrier // of an operation
+	calls   int
 }
 
 // Run is an agent until ctx is done or its voter has to stop. trust has it count on its disk without being told what it
@@ -84,11 +86,13 @@
 		a.clock = quorum.WallClock()
 	}
 	dead := make(<-chan struct{})
-	if v := f.voter(); v != nil {
-		disk, err := quorum.Folder(f.Data)
-		if err != nil {
+	var disk quorum.Disk
+	if f.Data != "" {
+		if disk, err = quorum.Folder(f.Data); err != nil {
 			return fmt.Errorf("data: %w", err)
 		}
+	}
+	if v := f.voter(); v != nil {
 		first := map[uint64]string{}
 		for _, v := range f.Voter {
 			first[v.ID] = v.Addr
@@ -99,6 +103,9 @@
 		}
 		dead = a.host.Dead()
 	}
+	if a.runs, err = newRuns(a, disk); err != nil {
+		return fmt.Errorf("data: %w", err)
+	}
 	server := &http.Server{Handler: a.routes(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 		MaxHeaderBytes: 16 << 10}
 	go func() { _ = server.Serve(listener) }()
@@ -119,6 +126,7 @@
 			return a.host.Wait()
 		case <-tick.C:
 			a.work(ctx)
+			a.runs.work(ctx)
 		}
 	}
 }
@@ -196,33 +204,48 @@
 	return addrs
 }
 
-// register puts this agent and its schedulers on record, once that can be read, and again where they are not there.
-func (a *Agent) register(ctx context.Context) {
-	members := []fleet.Member{{ID: a.file.Name, Kind: "agent", Zone: a.file.Zone, Addr: a.addr}}
+// members lists this agent and all of its machine, as they are now.
+func (a *Agent) members() []fleet.Member {
+	all := []fleet.Member{{ID: a.file.Name, Kind: "agent", Zone: a.file.Zone, Addr: a.addr}}
 	for _, s := range a.file.Scheduler {
-		members = append(members, fleet.Member{ID: s.ID, Kind: "scheduler", Zone: s.Zone, Addr: s.Addr})
+		m := fleet.Member{ID: s.ID, Kind: "scheduler", Zone: s.Zone, Addr: s.Addr, Labels: s.Labels}
+		if s.Program != "" {
+			m.Agent, m.Addr = a.file.Name, a.runs.addr(s.ID)
+		}
+		all = append(all, m)
+	}
+	for _, w := range a.file.Worker {
+		m := fleet.Member{ID: w.ID, Kind: "worker", Zone: w.Zone, Addr: "worker/" + w.ID, Labels: w.Labels, Capacity: w.Capacity}
+		if len(w.Command) > 0 {
+			m.Agent = a.file.Name
+		}
+		all = append(all, m)
 	}
-	done := map[string]bool{}
-	for len(done) < len(members) && ctx.Err() == nil {
-		for _, m := range members {
+	return all
+}
+
+// register puts them on record, once that can be read, and again where they are not there so: a scheduler's second address
+// changes with each upgrade.
+func (a *Agent) register(ctx context.Context) {
+	refused := map[fleet.Member]bool{}
+	for ctx.Err() == nil {
+		for _, m := range a.members() {
 			a.mu.Lock()
 			known := a.rec.Members[m.ID] == m
 			a.mu.Unlock()
-			if known {
-				done[m.ID] = true
-			}
-			if done[m.ID] {
+			if known || refused[m] {
 				continue
 			}
 			got, err := a.do(ctx, fleet.Command{Do: "member", Member: &m, Force: true, By: a.file.Name, Caller: a.caller("member")})
 			if err == nil && !got.Done {
 				a.log.Error("not taken on record", "member", m.ID, "why", got.Why)
-				done[m.ID] = true // only a person can mend it
+				refused[m] = true // only a person can mend it
 			}
 		}
+		a.putHalts(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(300 * time.Millisecond):
+		case <-time.After(100 * time.Millisecond):
 		}
 	}
 }
@@ -234,7 +257,7 @@
 func (a *Agent) do(ctx context.Context, c fleet.Command) (fleet.Answer, error) {
 	a.mu.Lock()
 	a.number++
-	c.V, c.Number = fleet.Form, a.number
+	c.V, c.Number = fleet.FormOf(&c), a.number
 	voters := a.voters()
 	if a.leader != "" {
 		voters = append([]string{a.leader}, voters...)
@@ -254,9 +277,9 @@
 		c := a.has[name]
 		m := a.rec.Matters[name]
 		switch {
-		case !c.hold.Holds(now) || c.teller.Passed > 0 || m.Fence > c.hold.Fence:
+		case !c.hold.Holds(now) || c.passed() > 0 || m.Fence > c.hold.Fence:
 			// Whatever it believes, it may not act any more: what is under way ends with its hold.
-			a.log.Warn("matter lost", "matter", name, "fence", c.hold.Fence, "passed", max(c.teller.Passed, m.Fence))
+			a.log.Warn("matter lost", "matter", name, "fence", c.hold.Fence, "passed", max(c.passed(), m.Fence))
 			delete(a.has, name)
 			continue
 		case m.Wanted != "" && m.Wanted != a.file.Name && m.Owner == a.owner:
@@ -267,14 +290,35 @@
 			}
 			continue
 		}
+		if c.carrier != nil {
+			if c.carrier.Follow(now, a.rec); c.carrier.Over() && a.rec.Matters[name].Owner == a.owner {
+				if c.calls == 0 && !a.asking[name] {
+					delete(a.has, name)
+					a.ask(ctx, name, fleet.Command{Do: "leave", Matter: name, Owner: a.owner, Fence: c.hold.Fence, By: a.file.Name}, nil)
+				}
+				continue
+			}
+		} else {
+			c.teller.Follow(now, a.rec, c.zone)
+		}
 		if !a.asking[name] && c.hold.NextRenewal(now) {
-			a.ask(ctx, name, fleet.Command{Do: "renew", Matter: name, Owner: a.owner, Fence: c.hold.Fence},
+			renewal := fleet.Command{Do: "renew", Matter: name, Owner: a.owner, Fence: c.hold.Fence}
+			if c.teller != nil {
+				var whole bool
+				if renewal.Seen, whole = c.teller.Report(now); whole {
+					renewal.To = fleet.Whole
+				}
+			}
+			a.ask(ctx, name, renewal,
 				func(got fleet.Answer, err error) {
 					c.hold.Renewed(err == nil && got.Done)
 					a.log.Debug("renewed", "matter", name, "fence", c.hold.Fence, "left", c.hold.Until()-a.clock.Now())
 				})
 		}
-		c.teller.Follow(a.rec.Of("scheduler"), a.rec.Workers, c.zone)
+		if c.carrier != nil {
+			a.carry(ctx, now, name, c)
+			continue
+		}
 		for c.calls < callsMost {
 			call, ok := c.teller.Next(now)
 			if !ok {
@@ -291,9 +335,15 @@
 				return
 			}
 			a.log.Info("matter owned", "matter", c.Matter, "fence", got.Fence)
-			a.has[c.Matter] = &charge{zone: zone, hold: fleet.Held(asked, got.Fence, c.Term),
-				teller: fleet.NewTeller(c.Matter, got.Fence)}
-			a.has[c.Matter].teller.Bug = a.bug
+			own := &charge{zone: zone, hold: fleet.Held(asked, got.Fence, c.Term)}
+			if id, isOp := strings.CutPrefix(c.Matter, "op/"); isOp {
+				own.carrier = fleet.NewCarrier(id, a.owner, got.Fence)
+				own.carrier.Bug = a.bug
+			} else {
+				own.teller = fleet.NewTeller(c.Matter, got.Fence)
+				own.teller.Bug, own.teller.Holds = a.bug, func(w fleet.Intent) bool { return a.runs.holds(a.rec, w) }
+			}
+			a.has[c.Matter] = own
 		})
 	}
 	if c, ok := a.duty.NextPass(now, a.rec, a.absent); ok && !a.asking[c.Matter] {
@@ -301,6 +351,79 @@
 	}
 }
 
+// passed is a higher number that a scheduler named, 0 for none.
+func (c *charge) passed() uint64 {
+	if c.teller == nil {
+		return 0
+	}
+	return c.teller.Passed
+}
+
+// carry does what an operation asks for now.
+func (a *Agent) carry(ctx context.Context, now float64, name string, c *charge) {
+	for c.calls < callsMost {
+		do, ok := c.carrier.NextLook(now)
+		if !ok {
+			if do, ok = c.carrier.NextDo(now); !ok {
+				break
+			}
+		}
+		c.calls++
+		go a.have(ctx, c, do)
+	}
+	for c.calls < callsMost {
+		m, ok := c.carrier.NextSample(now)
+		if !ok {
+			break
+		}
+		c.calls++
+		go a.sample(ctx, c, m)
+	}
+	if cmd, ok := c.carrier.NextCommand(now); ok && !a.asking[name] {
+		a.ask(ctx, name, cmd, func(got fleet.Answer, err error) {
+			if err == nil && got.Done {
+				a.log.Info("step", "op", c.carrier.ID, "do", cmd.Do, "of", cmd.ID, "to", cmd.To, "no", got.No, "why", cmd.Why)
+			} else if err == nil {
+				a.log.Debug("step refused", "op", c.carrier.ID, "of", cmd.ID, "to", cmd.To, "why", got.Why)
+			}
+		})
+	}
+}
+
+// bound is a context that ends with a hold, or with the time of one call.
+func (a *Agent) bound(ctx context.Context, c *charge) (context.Context, context.CancelFunc) {
+	now := a.clock.Now()
+	a.mu.Lock()
+	left := time.Duration((c.hold.Until() - now) * float64(time.Millisecond))
+	a.mu.Unlock()
+	return context.WithTimeout(ctx, min(callMost, left))
+}
+
+// have has a member's agent do what its operation wants next.
+func (a *Agent) have(ctx context.Context, c *charge, do fleet.Do) {
+	ctx, stop := a.bound(ctx, c)
+	defer stop()
+	var did fleet.Did
+	err := fetch(ctx, a.http, "POST", "http://"+do.Agent.Addr+"/v1/act", do, &did)
+	did.Reached = err == nil
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.calls--
+	c.carrier.Did(a.clock.Now(), do, did)
+	a.log.Debug("had", "op", do.Op, "member", do.Member, "call", do.Call, "no", do.No, "state", did.State, "why", did.Why, "err", err)
+}
+
+func (a *Agent) sample(ctx context.Context, c *charge, m fleet.Member) {
+	ctx, stop := a.bound(ctx, c)
+	defer stop()
+	r := a.tell(ctx, fleet.Call{To: m, Act: fleet.Look, Matter: "-"})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.calls--; r.Done {
+		c.carrier.Sampled(m.ID, r.Txns)
+	}
+}
+
 // ask sends a command of a matter beside the work; then is told what came of it.
 func (a *Agent) ask(ctx context.Context, matter string, c fleet.Command, then func(fleet.Answer, error)) {
 	a.asking[matter] = true
@@ -318,11 +441,7 @@
 
 // call makes one call at a scheduler. It ends with the hold, in whatever state it is then.
 func (a *Agent) call(ctx context.Context, c *charge, call fleet.Call) {
-	now := a.clock.Now()
-	a.mu.Lock()
-	left := time.Duration((c.hold.Until() - now) * float64(time.Millisecond))
-	a.mu.Unlock()
-	ctx, stop := context.WithTimeout(ctx, min(callMost, left))
+	ctx, stop := a.bound(ctx, c)
 	defer stop()
 	a.log.Debug("calls", "scheduler", call.To.ID, "act", int(call.Act), "matter", call.Matter, "fence", call.Fence)
 	r := a.tell(ctx, call)
@@ -340,6 +459,9 @@
 	switch {
 	case call.Act == fleet.Look:
 		method, path = "GET", "/ops/fence"
+		if zone, ok := strings.CutPrefix(call.Matter, "zone/"); ok {
+			path += "?zone=" + url.QueryEscape(zone)
+		}
 	case call.Act == fleet.Close:
 		path = "/ops/fence"
 	case call.Out:
@@ -373,10 +495,13 @@
 	r := fleet.Reply{Reached: true, Start: call.Start}
 	if call.Act == fleet.Look {
 		var k struct {
-			Name   string
-			Start  string
-			Fences map[string]uint64
-			Out    map[string]string
+			Name    string
+			Start   string
+			Fences  map[string]uint64
+			Out     map[string]string
+			Phase   string
+			Workers map[string]string
+			Txns    fleet.Txns
 		}
 		if status != 200 || json.Unmarshal(raw, &k) != nil || k.Start == "" {
 			return fleet.Reply{Reached: true, Why: fmt.Sprintf("status %d: it takes no calls of the fleet", status)}
@@ -385,6 +510,7 @@
 			return fleet.Reply{Reached: true, Why: "another scheduler answers there: " + k.Name}
 		}
 		r.Done, r.Start, r.Fence = true, k.Start, k.Fences[call.Matter]
+		r.Phase, r.Workers, r.Txns = k.Phase, k.Workers, k.Txns
 		for id, matter := range k.Out {
 			if matter == call.Matter {
 				r.Out = append(r.Out, id)
--- a/agent/api.go
+++ b/agent/api.go
@@ -18,7 +18,7 @@
 
 // What an agent answers. Bodies are bounded; each call has a time of its own.
 
-const bodyMost = 64 << 10
+const bodyMost = 1 << 20
 
 // Status is what one agent knows of itself and the fleet.
 type Status struct {
@@ -36,6 +36,8 @@
 	Bytes  int               `json:"log_bytes,omitempty"`
 	Sent   quorum.Traffic    `json:"sent"`
 	Rows   []fleet.Row       `json:"rows,omitempty"`
+	Runs   []Running         `json:"runs,omitempty"`  // the schedulers of this machine that the agent runs
+	Halts  []fleet.Halt      `json:"halts,omitempty"` // told here
 }
 
 // Told is how schedulers stand to what is intended for a worker.
@@ -57,6 +59,8 @@
 	m.HandleFunc("GET /v1/out", a.out)
 	m.HandleFunc("GET /v1/told", a.told)
 	m.HandleFunc("GET /v1/status", a.status)
+	m.HandleFunc("POST /v1/act", a.act)
+	m.HandleFunc("POST /v1/halt", a.haltHere)
 	return m
 }
 
@@ -113,6 +117,10 @@
 		refuse(w, 400, err.Error())
 		return
 	}
+	if c.V < fleet.FormOf(&c) {
+		refuse(w, 400, fmt.Sprintf("%s is of form %d", c.Do, fleet.FormOf(&c)))
+		return
+	}
 	ctx, stop := context.WithTimeout(r.Context(), doMost)
 	defer stop()
 	leader := a.leaderAddr()
@@ -319,8 +327,8 @@
 	intent, known := rec.Workers[worker]
 	name := fleet.MatterOf(intent.Zone)
 	c := a.has[name]
-	if c != nil && c.hold.Holds(a.clock.Now()) {
-		c.teller.Follow(rec.Of("scheduler"), rec.Workers, c.zone)
+	if c != nil && c.teller != nil && c.hold.Holds(a.clock.Now()) {
+		c.teller.Follow(a.clock.Now(), rec, c.zone)
 		t := Told{name, a.owner, c.hold.Fence, intent, c.teller.Told(worker)}
 		a.mu.Unlock()
 		say(w, 200, t)
@@ -353,6 +361,7 @@
 		s.Voter, s.Counts, s.Behind, s.Leads = a.host.ID, v.Counts, v.Behind, v.Leads
 		s.Syncs, s.Bytes, s.Sent = v.Syncs, v.Bytes, a.host.Traffic()
 	}
+	s.Runs, s.Halts = a.runs.list()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.No = a.rec.No
--- a/agent/config.go
+++ b/agent/config.go
@@ -23,8 +23,12 @@
 	// Replaces is the number of the voter in whose place it is put.
 	Replaces uint64  `toml:"replaces"`
 	Voter    []Voter `toml:"voter"`
-	// Scheduler are those of this machine, which the agent puts on record.
+	// Scheduler are those of this machine, which the agent puts on record, and runs where a program is named.
 	Scheduler []Local `toml:"scheduler"`
+	// Worker are those of this machine, which the agent puts on record, with the site's own command to renew them.
+	Worker []Site `toml:"worker"`
+	// ReadyMost is how long a new process of a scheduler may take to be ready; 15s where none is named.
+	ReadyMost Span `toml:"ready_most"`
 	// Via has calls to an address go to another one, as where a machine is reached through a forwarder.
 	Via map[string]string `toml:"via"`
 }
@@ -36,11 +40,27 @@
 	Addr string `toml:"addr"`
 }
 
-// Local is a scheduler of this machine.
+// Local is a scheduler of this machine. With Program its processes are the agent's; without it they are another's, and
+// the agent touches none.
 type Local struct {
-	ID   string `toml:"id"`
-	Zone string `toml:"zone"`
-	Addr string `toml:"addr"` // its second address
+	ID      string `toml:"id"`
+	Zone    string `toml:"zone"`
+	Addr    string `toml:"addr"` // its second address
+	Labels  string `toml:"labels,omitempty"`
+	Program string `toml:"program,omitempty"` // path of shalebeam
+	Config  string `toml:"config,omitempty"`  // path of its configuration, which names no mgmt
+	Beside  string `toml:"beside,omitempty"`  // second address of the process that takes over in an upgrade
+	Tmp     string `toml:"tmp,omitempty"`     // $TMPDIR of its processes; data where none is named
+}
+
+// Site is a worker of this machine. Command is the site's own, run to renew it while it is out; {worker} and {version} in it
+// are replaced.
+type Site struct {
+	ID       string   `toml:"id"`
+	Zone     string   `toml:"zone"`
+	Labels   string   `toml:"labels,omitempty"`
+	Capacity float64  `toml:"capacity,omitempty"`
+	Command  []string `toml:"command,omitempty"`
 }
 
 // Span is a time with its unit, as 500ms or 3s.
@@ -92,6 +112,9 @@
 	if len(f.Listen) > 0 && f.Listen[0] == ':' {
 		f.Listen = "127.0.0.1" + f.Listen
 	}
+	if f.ReadyMost == 0 {
+		f.ReadyMost = Span(15 * time.Second)
+	}
 	switch {
 	case f.Name == "":
 		return errors.New("name is missing")
@@ -140,6 +163,31 @@
 			return fmt.Errorf("scheduler[%d]: id or addr is another's too", i)
 		}
 		seen[s.ID], seen[s.Addr] = true, true
+		switch {
+		case s.Program == "" && s.Config+s.Beside+s.Tmp != "":
+			return fmt.Errorf("scheduler[%d].program is missing, and config, beside or tmp is there", i)
+		case s.Program == "":
+			continue
+		case s.Config == "" || !address(s.Beside) || seen[s.Beside]:
+			return fmt.Errorf("scheduler[%d]: a program wants config, and beside: an address of its own", i)
+		case f.Data == "":
+			return fmt.Errorf("data is missing, and scheduler[%d] is run by this agent", i)
+		}
+		seen[s.Beside] = true
+	}
+	for i, w := range f.Worker {
+		switch {
+		case w.ID == "" || w.Zone == "" || w.Capacity < 0:
+			return fmt.Errorf("worker[%d]: id and zone are needed, and capacity is not below 0", i)
+		case seen[w.ID]:
+			return fmt.Errorf("worker[%d]: id is another's too", i)
+		case len(w.Command) > 0 && f.Data == "":
+			return fmt.Errorf("data is missing, and worker[%d] has a command", i)
+		}
+		seen[w.ID] = true
+	}
+	if f.ReadyMost < Span(time.Second) || f.ReadyMost > Span(10*time.Minute) {
+		return fmt.Errorf("ready_most: %v is not from 1s to 10m", time.Duration(f.ReadyMost))
 	}
 	for from, to := range f.Via {
 		if !address(from) || !address(to) {
--- a/cmd/beamctl/main.go
+++ b/cmd/beamctl/main.go
@@ -79,7 +79,7 @@
 		g.session = "beamctl/" + strconv.FormatUint(rand.Uint64(), 36)
 	}
 	g.number++
-	c.V, c.Caller, c.Number, c.By = fleet.Form, g.session, g.number, g.by()
+	c.V, c.Caller, c.Number, c.By = fleet.FormOf(&c), g.session, g.number, g.by()
 	if err := c.Check(); err != nil {
 		return fleet.Answer{}, exit{none, err.Error()}
 	}
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -41,13 +41,29 @@
 		zones[w.Zone] = true
 	}
 	for _, m := range r.Members {
-		if m.Kind == "scheduler" {
+		if m.Kind != "agent" {
 			zones[m.Zone] = true
 		}
 	}
 	return slices.Sorted(maps.Keys(zones))
 }
 
+// task is one that has to have an owner, and what the order of agents goes by.
+type task struct{ matter, key string }
+
+// tasks lists the matters that have work: zones, and operations that are not over.
+func (r *Record) tasks() (all []task) {
+	for _, zone := range r.Zones() {
+		all = append(all, task{MatterOf(zone), zone})
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.Ops)) {
+		if r.Ops[id].Open() {
+			all = append(all, task{OpOf(id), id})
+		}
+	}
+	return all
+}
+
 // Order is who should have a zone's matter: agents of the zone first, then by hash.
 func Order(zone string, agents []Member) []Member {
 	out := slices.Clone(agents)
@@ -85,8 +101,8 @@
 
 // NextClaim decides the next matter to claim. absent are the agents that the leader has not heard of lately.
 func (d *Duty) NextClaim(now float64, r *Record, absent map[string]bool) (Command, bool) {
-	for _, zone := range r.Zones() {
-		name := MatterOf(zone)
+	for _, t := range r.tasks() {
+		name := t.matter
 		m := r.Matters[name]
 		was, ok := d.seenAt[name]
 		if !ok || was.renewed != m.Renewed {
@@ -98,7 +114,7 @@
 			m.Owner != "" && now < was.at+leaderPart*m.Term && !d.Hurry { // by far the most: with hundreds of agents an order is dear
 			continue
 		}
-		rank, _ := d.rank(zone, r, absent)
+		rank, _ := d.rank(t.key, r, absent)
 		if rank < 0 {
 			continue
 		}
@@ -119,7 +135,7 @@
 			continue
 		}
 		d.asked[name] = now
-		return Command{V: Form, Do: "claim", Matter: name, Owner: d.Owner, Fence: m.Fence, Renewed: m.Renewed,
+		return Command{Do: "claim", Matter: name, Owner: d.Owner, Fence: m.Fence, Renewed: m.Renewed,
 			Term: d.Term, By: d.Agent}, true
 	}
 	return Command{}, false
@@ -128,10 +144,10 @@
 // NextPass decides the next matter of its own that is to go to an agent that comes before this one and has been there
 // for long.
 func (d *Duty) NextPass(now float64, r *Record, absent map[string]bool) (Command, bool) {
-	for _, zone := range r.Zones() {
-		name := MatterOf(zone)
+	for _, t := range r.tasks() {
+		name := t.matter
 		m := r.Matters[name]
-		_, first := d.rank(zone, r, absent)
+		_, first := d.rank(t.key, r, absent)
 		if m.Owner != d.Owner || m.Wanted != "" || first == d.Agent || first == "" {
 			delete(d.better, name)
 			continue
@@ -141,7 +157,7 @@
 		}
 		if now >= d.better[name]+calmTerms*d.Term {
 			delete(d.better, name)
-			return Command{V: Form, Do: "want", Matter: name, Owner: first, By: d.Agent, Why: "comes first"}, true
+			return Command{Do: "want", Matter: name, Owner: first, By: d.Agent, Why: "comes first"}, true
 		}
 	}
 	return Command{}, false
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -67,10 +67,10 @@
 	}
 	// Of a newer form nothing is applied, nor passed over.
 	before := string(r.Snapshot())
-	if _, err := r.Apply(r.No+1, []byte(`{"v":2,"do":"new"}`)); !errors.Is(err, ErrNewer) || string(r.Snapshot()) != before {
+	if _, err := r.Apply(r.No+1, []byte(`{"v":3,"do":"new"}`)); !errors.Is(err, ErrNewer) || string(r.Snapshot()) != before {
 		t.Errorf("of a newer form: %v", err)
 	}
-	if err := r.Restore([]byte(`{"v":2}`)); !errors.Is(err, ErrNewer) || string(r.Snapshot()) != before {
+	if err := r.Restore([]byte(`{"v":3}`)); !errors.Is(err, ErrNewer) || string(r.Snapshot()) != before {
 		t.Errorf("a snapshot of a newer form: %v", err)
 	}
 	o := NewRecord()
@@ -94,7 +94,7 @@
 			h := Held(1000*owner, 1, term)
 			var k Keeper
 			k.Leads(0)
-			k.Applied(1000*leader, "m") // at the soonest it can stand in the record
+			k.Applied(1000*leader, &Command{Do: "renew", Matter: "m"}) // at the soonest it can stand in the record
 			for at := 1000.0; at < 6000; at++ {
 				if h.Holds(at*owner) && k.Over(at*leader, "m", Matter{Owner: "a#1", Term: term}) {
 					t.Fatalf("clocks at %g and %g: both at %g", owner, leader, at)
@@ -122,7 +122,10 @@
 func TestTeller(t *testing.T) {
 	s1 := Member{ID: "s1", Kind: "scheduler", Zone: "a", Addr: "x:1"}
 	tell := NewTeller("zone/a", 5)
-	tell.Follow([]Member{s1}, map[string]Intent{"w1": {Zone: "a", Out: true, Since: 9}, "w2": {Zone: "b", Out: true, Since: 8}}, "a")
+	r := NewRecord()
+	r.Members["s1"] = s1
+	r.Workers = map[string]Intent{"w1": {Zone: "a", Out: true, Since: 9}, "w2": {Zone: "b", Out: true, Since: 8}}
+	tell.Follow(0, r, "a")
 	now := 0.0
 	step := func(want Act, r Reply) Call {
 		t.Helper()
@@ -177,8 +180,9 @@
 // the first one has been there for long.
 func TestDuties(t *testing.T) {
 	r := NewRecord()
-	for _, m := range []Member{{"a1", "agent", "a", "x:1"}, {"a2", "agent", "a", "x:2"}, {"b1", "agent", "b", "x:3"},
-		{"s1", "scheduler", "a", "x:4"}, {"s2", "scheduler", "b", "x:5"}} {
+	for _, m := range []Member{{ID: "a1", Kind: "agent", Zone: "a", Addr: "x:1"}, {ID: "a2", Kind: "agent", Zone: "a", Addr: "x:2"},
+		{ID: "b1", Kind: "agent", Zone: "b", Addr: "x:3"}, {ID: "s1", Kind: "scheduler", Zone: "a", Addr: "x:4"},
+		{ID: "s2", Kind: "scheduler", Zone: "b", Addr: "x:5"}} {
 		apply(t, r, Command{Do: "member", Member: &m})
 	}
 	order := Order("a", r.Of("agent"))
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -12,8 +12,18 @@
 )
 
 // Form is the newest form of commands and snapshots that this program reads. One that meets a newer form stays as it
-// is: passed over, a command would make two records of one.
-const Form = 1
+// is: passed over, a command would make two records of one. A command names the form that first had it, so programs of both
+// forms keep one record until the first command of the newer one.
+const Form = 2
+
+// FormOf is the form that first had a command.
+func FormOf(c *Command) int {
+	if c.Op != nil || c.Seen != nil || c.Limits != nil || c.Member != nil && (c.Member.Kind == "worker" || c.Member.Agent+c.Member.Labels != "") ||
+		slices.Contains([]string{"limits", "begin", "step", "wave", "turn", "halt", "lift", "close"}, c.Do) {
+		return 2
+	}
+	return 1
+}
 
 // Bounds of the record: a caller that sends without end must not fill every voter's memory.
 const (
@@ -26,12 +36,15 @@
 	mostWhy      = 500
 )
 
-// Member is a scheduler or an agent of the fleet.
+// Member is a scheduler, an agent or a worker of the fleet.
 type Member struct {
-	ID   string `json:"id"`
-	Kind string `json:"kind"` // scheduler or agent
-	Zone string `json:"zone"`
-	Addr string `json:"addr"` // of a scheduler its second address, of an agent its own
+	ID       string  `json:"id"`
+	Kind     string  `json:"kind"` // scheduler, agent or worker
+	Zone     string  `json:"zone"`
+	Addr     string  `json:"addr"`               // of a scheduler its second address, of an agent its own; of a worker what staff call it by
+	Agent    string  `json:"agent,omitempty"`    // who runs its processes, or the site's own command for it
+	Labels   string  `json:"labels,omitempty"`   // key=value,key=value
+	Capacity float64 `json:"capacity,omitempty"` // of a worker, in any unit that all share
 }
 
 // Matter is what one owner at a time does for all.
@@ -92,6 +105,13 @@
 	Renewed uint64  `json:"renewed,omitempty"`
 	Term    float64 `json:"term,omitempty"`
 	Force   bool    `json:"force,omitempty"`
+	// Of form 2.
+	Seen   map[string]Seen `json:"seen,omitempty"` // with a renewal
+	Op     *Op             `json:"op,omitempty"`
+	To     string          `json:"to,omitempty"`
+	Start  string          `json:"start,omitempty"`
+	Then   string          `json:"then,omitempty"`
+	Limits []Limit         `json:"limits,omitempty"`
 }
 
 // Record is the fleet's state after the commands so far. Equal commands in equal order give equal bytes.
@@ -106,6 +126,12 @@
 	Workers  map[string]Intent  `json:"workers"`
 	Rows     []Row              `json:"rows"`
 	Sessions map[string]session `json:"sessions"`
+	Limits   []Limit            `json:"limits,omitempty"`
+	Health   map[string]Seen    `json:"health,omitempty"`
+	Permits  map[string]Permit  `json:"permits,omitempty"`
+	Ops      map[string]*Op     `json:"ops,omitempty"`
+	Halts    map[string]Halt    `json:"halts,omitempty"`
+	LiftedNo uint64             `json:"lifted_no,omitempty"` // the last lift of a halt
 	// Retries counts commands that were sent again and not carried out again.
 	Retries uint64 `json:"retries"`
 	// Bug is one planted by a test of what finds it, "" in any other use.
@@ -114,7 +140,7 @@
 
 // NewRecord is the record before any command.
 func NewRecord() *Record {
-	return &Record{V: Form, Voters: map[uint64]string{}, Members: map[string]Member{}, Matters: map[string]Matter{}, Workers: map[string]Intent{},
+	return &Record{V: 1, Health: map[string]Seen{}, Permits: map[string]Permit{}, Ops: map[string]*Op{}, Halts: map[string]Halt{}, Voters: map[uint64]string{}, Members: map[string]Member{}, Matters: map[string]Matter{}, Workers: map[string]Intent{},
 		Sessions: map[string]session{}}
 }
 
@@ -127,6 +153,8 @@
 	"member": (*Record).member, "unmember": (*Record).unmember,
 	"claim": (*Record).claim, "renew": (*Record).renew, "leave": (*Record).leave, "want": (*Record).want,
 	"out": (*Record).out, "in": (*Record).in,
+	"limits": (*Record).setLimits, "begin": (*Record).begin, "step": (*Record).step, "wave": (*Record).wave, "turn": (*Record).turn,
+	"halt": (*Record).halt, "lift": (*Record).lift, "close": (*Record).close,
 }
 
 // Check tells what is wrong with a command before it is sent, nil where nothing is.
@@ -141,9 +169,15 @@
 	case len(c.Why) > mostWhy:
 		return fmt.Errorf("why: longer than %d bytes", mostWhy)
 	}
-	names := []string{c.Caller, c.By, c.ID, c.Zone, c.Matter, c.Owner}
+	names := []string{c.Caller, c.By, c.ID, c.Zone, c.Matter, c.Owner, c.Start, c.To, c.Then}
 	if c.Member != nil {
-		names = append(names, c.Member.ID, c.Member.Kind, c.Member.Zone, c.Member.Addr)
+		names = append(names, c.Member.ID, c.Member.Kind, c.Member.Zone, c.Member.Addr, c.Member.Agent, c.Member.Labels)
+	}
+	if c.Op != nil {
+		v := c.Op.Version
+		if len(v.Program)+len(v.Config)+len(v.Digest)+len(v.Name) > mostPlan {
+			return fmt.Errorf("version: longer than %d bytes", mostPlan)
+		}
 	}
 	if slices.ContainsFunc(names, func(s string) bool { return len(s) > mostName }) {
 		return fmt.Errorf("a name is longer than %d bytes", mostName)
@@ -173,6 +207,7 @@
 		}
 		return s.Answer, nil
 	}
+	r.V = max(r.V, FormOf(&c))
 	why, fence := verbs[c.Do](r, no, &c)
 	a := Answer{No: no, Done: why == "", Why: why, Fence: fence}
 	r.remember(c.Caller, session{c.Number, a, no})
@@ -200,8 +235,8 @@
 
 func (r *Record) member(no uint64, c *Command) (string, uint64) {
 	m := c.Member
-	if m == nil || m.ID == "" || m.Zone == "" || m.Addr == "" || m.Kind != "scheduler" && m.Kind != "agent" {
-		return "a member has an id, a kind (scheduler or agent), a zone and an address", 0
+	if m == nil || m.ID == "" || m.Zone == "" || m.Addr == "" || !slices.Contains([]string{"scheduler", "agent", "worker"}, m.Kind) {
+		return "a member has an id, a kind (scheduler, agent or worker), a zone and an address", 0
 	}
 	for id, o := range r.Members {
 		// Counted under two names it would be told twice, and be two of those that may be out.
@@ -218,6 +253,9 @@
 	case len(r.Members) >= mostMembers:
 		return "the record holds no more members", 0
 	}
+	if known && was.Kind != m.Kind {
+		return "there is a member of this id and another kind", 0
+	}
 	r.Members[m.ID] = *m
 	r.note(no, "member", m.ID, c)
 	return "", 0
@@ -227,7 +265,12 @@
 	if _, ok := r.Members[c.ID]; !ok {
 		return "no such member", 0
 	}
+	if p, ok := r.Permits[c.ID]; ok && !c.Force {
+		return "it is out for " + p.Op + ": one that is gone for good is removed by force", 0
+	}
 	delete(r.Members, c.ID)
+	delete(r.Health, c.ID)
+	delete(r.Permits, c.ID) // a person says that it does not count any more
 	r.note(no, "unmember", c.ID, c)
 	return "", 0
 }
@@ -260,6 +303,9 @@
 	}
 	m.Renewed = no
 	r.Matters[c.Matter] = m
+	if zone, ok := strings.CutPrefix(c.Matter, "zone/"); ok {
+		r.saw(zone, c.Seen)
+	}
 	return "", m.Fence
 }
 
@@ -302,6 +348,11 @@
 		return "it is out, in zone " + w.Zone, 0
 	case w.Out:
 		return "", 0
+	case r.Members[c.ID].Kind == "worker" && !c.Force:
+		// A person's own 'down' uses up the same room. One who must, as where a worker does harm, says so.
+		if why := r.room(c.ID); why != "" {
+			return why, 0
+		}
 	}
 	if c.Zone != "" {
 		w.Zone = c.Zone
@@ -321,6 +372,8 @@
 		return "", 0
 	case w.By != c.By && !c.Force:
 		return "it was taken out by " + w.By, 0
+	case r.Permits[c.ID].Op != "":
+		return "it is out for " + r.Permits[c.ID].Op, 0
 	}
 	w.Out, w.Since, w.By, w.Why = false, no, c.By, c.Why
 	r.Workers[c.ID] = w
--- a/fleet/teller.go
+++ b/fleet/teller.go
@@ -9,6 +9,8 @@
 	lookEach = 1000.0 // how soon a scheduler that was started again is seen
 	tryFirst = 100.0  // after a call that did not come through, then twice as long each time
 	tryMost  = 2000.0
+
+	reportMost = 400 // members in one renewal
 )
 
 // Act is what a call does at a scheduler.
@@ -40,6 +42,9 @@
 	Fence   uint64 // in force there
 	Out     []string
 	Why     string
+	Phase   string            // of the scheduler
+	Workers map[string]string // of the zone: warm, cold or busy, as it has them running
+	Txns    Txns
 }
 
 type target struct {
@@ -54,6 +59,10 @@
 	fails  int
 	why    string // why it refused, or why it was not reached
 	seen   bool
+	phase  string
+	has    map[string]string // workers, as it has them
+	lookNo uint64            // what the record was at when that look began
+	asksNo uint64            // the same of the look under way
 }
 
 // Teller is what the owner of a zone's matter knows of the schedulers that it keeps told who is out.
@@ -64,17 +73,25 @@
 	Bug     string // one planted by a test of what finds it, "" in any other use
 	targets map[string]*target
 	intents map[string]Intent
+	// Holds tells of a worker that is to go out whether nobody may be told of it now who was not yet: it is halted here.
+	Holds func(Intent) bool
+	rec   *Record
+	zone  string
+	since float64 // when this ownership began
 }
 
 // NewTeller begins with nothing known: whatever a predecessor did is looked up at each scheduler.
 func NewTeller(matter string, fence uint64) *Teller {
-	return &Teller{Matter: matter, Fence: fence, targets: map[string]*target{}, intents: map[string]Intent{}}
+	return &Teller{Matter: matter, Fence: fence, targets: map[string]*target{}, intents: map[string]Intent{}, since: -1}
 }
 
-// Follow takes the schedulers, and what is intended for the zone's workers, as the record now has them.
-func (t *Teller) Follow(schedulers []Member, workers map[string]Intent, zone string) {
+// Follow takes the record as it now is: the schedulers, and what is intended for the zone's workers.
+func (t *Teller) Follow(now float64, r *Record, zone string) {
+	if t.rec, t.zone = r, zone; t.since < 0 {
+		t.since = now
+	}
 	here := map[string]bool{}
-	for _, m := range schedulers {
+	for _, m := range r.Of("scheduler") {
 		here[m.ID] = true
 		if o := t.targets[m.ID]; o == nil || o.Member != m {
 			t.targets[m.ID] = &target{Member: m, told: map[string]uint64{}}
@@ -82,11 +99,33 @@
 	}
 	maps.DeleteFunc(t.targets, func(id string, _ *target) bool { return !here[id] })
 	clear(t.intents)
-	for id, w := range workers {
+	for id, w := range r.Workers {
 		if w.Zone == zone {
 			t.intents[id] = w
 		}
 	}
+	// What waits to be seen since its last step is looked at now, and not at the next round: a worker through all of them.
+	need := uint64(0)
+	for id, p := range r.Permits {
+		m := r.Members[id]
+		if m.Zone != zone {
+			continue
+		}
+		no := p.No
+		if op := r.Ops[p.Op]; op != nil {
+			no = max(no, op.Steps[id].No)
+		}
+		if m.Kind == "worker" {
+			need = max(need, no)
+		} else if o := t.targets[id]; o != nil && o.lookNo < no {
+			o.lookAt = min(o.lookAt, now)
+		}
+	}
+	for _, o := range t.targets {
+		if o.lookNo < need {
+			o.lookAt = min(o.lookAt, now)
+		}
+	}
 }
 
 // owed is the first worker that a scheduler is still to be told of.
@@ -95,6 +134,9 @@
 		w := t.intents[id]
 		// What is in use need not be told to one that has it in use.
 		if o.told[id] != w.Since && (w.Out || o.told[id] > 0 || o.out[id]) {
+			if t.Holds != nil && !o.out[id] && t.Holds(w) {
+				continue
+			}
 			return id, true
 		}
 	}
@@ -114,7 +156,7 @@
 		c := Call{To: o.Member, Matter: t.Matter, Fence: t.Fence, Start: o.start}
 		switch worker, owes := t.owed(o); {
 		case o.start == "" || now >= o.lookAt:
-			c.Act, c.Start = Look, ""
+			c.Act, c.Start, o.asksNo = Look, "", t.rec.No
 		case !o.closed && t.Bug != "not-closed":
 			c.Act = Close
 		case owes:
@@ -158,6 +200,7 @@
 		o.why, o.lookAt, o.at = r.Why, now, now+tryFirst
 	case c.Act == Look:
 		o.lookAt, o.out = now+lookEach, map[string]bool{}
+		o.phase, o.has, o.lookNo = r.Phase, r.Workers, o.asksNo
 		for _, id := range r.Out {
 			o.out[id] = true
 		}
@@ -201,6 +244,99 @@
 	Why   string `json:"why,omitempty"`
 }
 
+// state is how a scheduler stands, by the last look.
+func (o *target) state() string {
+	switch {
+	case o.fails > 0 || !o.seen:
+		return NotLooked
+	case o.phase == "serving":
+		return InService
+	case o.phase == "":
+		return "unknown"
+	}
+	return o.phase
+}
+
+// worker is how one stands, by all schedulers that serve: warm at each that has it, or out and quiet at all.
+func (t *Teller) worker(id string) Seen {
+	s := Seen{State: NotLooked, Of: t.rec.No}
+	if w := t.intents[id]; w.Out {
+		s.State = "out"
+		for _, row := range t.Told(id) {
+			o := t.targets[row.ID]
+			if row.State != Obeyed || o.has[id] == "busy" || o.lookNo < w.Since {
+				s.State = "draining"
+			}
+		}
+		return s
+	}
+	for _, o := range t.targets { // in any order: the least and the worst of all
+		if o.state() != InService {
+			continue
+		}
+		switch s.Of = min(s.Of, o.lookNo); {
+		case o.has[id] == "cold" && s.State != "unlisted" || o.out[id]:
+			s.State = "cold"
+		case o.has[id] == "":
+			s.State = "unlisted"
+		case s.State == NotLooked:
+			s.State = InService
+		}
+	}
+	return s
+}
+
+// Report is what has changed of how the zone's members stand, to go with the next renewal, and whether all of them were
+// looked at since this ownership began.
+func (t *Teller) Report(now float64) (changed map[string]Seen, whole bool) {
+	if t.rec == nil || t.rec.V < 2 {
+		return nil, false // a record of the older form has no room for it
+	}
+	whole = true
+	for _, m := range t.rec.Of("scheduler") {
+		o := t.targets[m.ID]
+		whole = whole && (o.seen || o.fails > 0)
+	}
+	for id, m := range t.rec.Members {
+		if m.Zone != t.zone || m.Kind == "agent" {
+			continue
+		}
+		var s Seen
+		if m.Kind == "worker" {
+			s = t.worker(id)
+		} else if o := t.targets[id]; o != nil {
+			s = Seen{o.state(), o.lookNo}
+		}
+		if s.State == NotLooked && !whole {
+			continue
+		}
+		was, known := t.rec.Health[id]
+		_, out := t.rec.Permits[id]
+		if s.State == NotLooked {
+			s.Of = max(s.Of, was.Of) // that nobody reaches it is news of now
+		}
+		if known && was.State == s.State && !(out && s.Of > was.Of && s.Of >= t.needs(id) && was.Of < t.needs(id)) || s.Of < was.Of {
+			continue
+		}
+		if changed == nil {
+			changed = map[string]Seen{}
+		}
+		if changed[id] = s; len(changed) >= reportMost {
+			break // the rest goes with the next renewal
+		}
+	}
+	return changed, whole
+}
+
+// needs is the step since which a member that is out has to be seen.
+func (t *Teller) needs(id string) uint64 {
+	p := t.rec.Permits[id]
+	if op := t.rec.Ops[p.Op]; op != nil {
+		return max(p.No, op.Steps[id].No)
+	}
+	return p.No
+}
+
 // Told lists how each scheduler stands to what is now intended for a worker. A scheduler that is a member and does not
 // answer is not known to be gone: what it was told last may be the opposite.
 func (t *Teller) Told(worker string) (rows []Standing) {
--- a/fleet/terms.go
+++ b/fleet/terms.go
@@ -45,28 +45,43 @@
 	}
 }
 
+// Whole marks a renewal whose owner has looked at all members of its zone.
+const Whole = "whole"
+
 // Keeper is the leader's knowledge of how old each claim is. It counts only what it saw itself as leader: a new one
 // waits for a whole term, as it can't know when its predecessor last let an owner renew.
 type Keeper struct {
 	leads bool
 	ledAt float64
 	seen  map[string]float64
-	Hurry bool // a bug planted by a test of what finds it: a new leader does not wait
+	told  map[string]float64 // when each zone's owner last renewed, and with it reported
+	Hurry bool               // a bug planted by a test of what finds it: a new leader does not wait
 }
 
 // Leads tells that this process leads from now on.
 func (k *Keeper) Leads(now float64) {
-	*k = Keeper{leads: true, ledAt: now, seen: map[string]float64{}, Hurry: k.Hurry}
+	*k = Keeper{leads: true, ledAt: now, seen: map[string]float64{}, told: map[string]float64{}, Hurry: k.Hurry}
 }
 
 // Follows tells that it does not lead any more.
 func (k *Keeper) Follows() { *k = Keeper{Hurry: k.Hurry} }
 
 // Applied takes that a claim or renewal of a matter was carried out.
-func (k *Keeper) Applied(now float64, matter string) {
+func (k *Keeper) Applied(now float64, c *Command) {
 	if k.leads {
-		k.seen[matter] = now
+		if k.seen[c.Matter] = now; c.Do == "renew" && c.To == Whole {
+			k.told[c.Matter] = now
+		}
+	}
+}
+
+// fresh is why what stands on record of a zone's members may be old, "" where it was reported on within a term.
+func (k *Keeper) fresh(now float64, r *Record, zone string) string {
+	m := r.Matters[MatterOf(zone)]
+	if at, told := k.told[MatterOf(zone)]; !told || now > at+m.Term {
+		return "nobody has reported on zone " + zone + " lately"
 	}
+	return ""
 }
 
 // Over decides whether the term of a matter's owner is over, so that another's claim may go on the record.
@@ -83,6 +98,13 @@
 // MayPropose decides whether the leader takes a command at all: a claim of a matter that another still has is refused
 // with the reason, all else is the record's to judge.
 func (k *Keeper) MayPropose(now float64, r *Record, c *Command) string {
+	if c.Do == "step" && c.To == Granted || c.Do == "out" && r.Members[c.ID].Kind == "worker" && !c.Force {
+		for _, zone := range r.counted(c.ID) {
+			if why := k.fresh(now, r, zone); why != "" {
+				return why
+			}
+		}
+	}
 	if c.Do != "claim" {
 		return ""
 	}
--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -35,6 +35,10 @@
 func played(t *testing.T, o Options) *Report {
 	t.Helper()
 	o.Program, o.Agent, o.Dir = filepath.Join(bin, "shalebeam"), filepath.Join(bin, "beamagent"), t.TempDir()
+	if at := os.Getenv("CLUSTER_KEEP"); at != "" { // logs and disks stay there
+		o.Dir = filepath.Join(at, t.Name())
+		_ = os.RemoveAll(o.Dir)
+	}
 	ctx, stop := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer stop()
 	r, err := Play(ctx, o)
--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -44,6 +44,8 @@
 	Tell       func(string)
 	// Act has a test play its own day in place of the seeded one; faults end when it returns.
 	Act func(d *Day)
+	// Runs has agents run the schedulers, and operations and halts among what happens.
+	Runs bool
 	// Hold goes on until ctx is done, in place of ending: for a demonstration.
 	Hold bool
 }
@@ -57,6 +59,7 @@
 	Open     int // never answered
 	Faults   []string
 	Postings int
+	Most     int     // schedulers out by will together, by truth
 	Healed   float64 // s from the end of faults until every scheduler knew who is out
 }
 
@@ -81,6 +84,8 @@
 	number map[string]uint64
 	// holding: of calls that lie in their connections there is one at a time, else they undo each other's workers.
 	holding atomic.Bool
+	limits  []fleet.Limit
+	turn    int
 	calm    atomic.Bool // callers wait
 }
 
@@ -168,6 +173,10 @@
 // Play plays one day.
 func Play(ctx context.Context, opt Options) (*Report, error) {
 	opt.fill()
+	var err error
+	if opt.Dir, err = filepath.Abs(opt.Dir); err != nil {
+		return nil, err
+	}
 	d := &day{opt: opt, ctx: ctx, dir: opt.Dir, r: rand.New(rand.NewPCG(opt.Seed, 7)), links: map[string]*relay{},
 		http: agent.NewHTTP(nil, time.Second), behind: map[int]bool{}, locks: map[string]*sync.Mutex{}, number: map[string]uint64{},
 		nextID: 100, rep: Report{Seed: opt.Seed}}
@@ -190,6 +199,9 @@
 	}
 	defer d.close()
 	for _, a := range d.agents {
+		if opt.Runs {
+			break // they begin once they know whom to run
+		}
 		if err := a.start(); err != nil {
 			return nil, err
 		}
@@ -197,6 +209,7 @@
 	var failed error
 	got, err := live.Play(d.ctx, p, opt.Seed, live.Options{Program: opt.Program, Env: []string{"SHALEBEAM_BUG=" + opt.Bug}, Dir: filepath.Join(d.dir, "schedulers"),
 		Agent: func(no int) string { return d.agents[no%len(d.agents)].file.Listen },
+		Mark:  d.mark(), Logs: d.dir, Begin: d.begin,
 		Fleet: func(f *live.Fleet) func() {
 			d.live = f
 			done := make(chan struct{})
@@ -297,6 +310,9 @@
 func (d *day) play() error {
 	d.begun = time.Now()
 	for i, m := range d.live.Schedulers() {
+		if d.opt.Runs {
+			break
+		}
 		for _, p := range d.agents {
 			if err := d.link(p, m.ID, m.Mgmt); err != nil {
 				return err
@@ -306,6 +322,9 @@
 		p.file.Scheduler = append(p.file.Scheduler, agent.Local{ID: m.ID, Zone: m.Zone, Addr: m.Mgmt})
 	}
 	for _, p := range d.agents {
+		if d.opt.Runs {
+			break
+		}
 		p.kill() // and started again with what it has to know
 		if err := p.start(); err != nil {
 			return err
@@ -330,6 +349,10 @@
 	}
 	ctx, stop := context.WithCancel(d.ctx)
 	go d.watch()
+	if d.opt.Runs {
+		go d.sample()
+		go d.renewals()
+	}
 	var callers sync.WaitGroup
 	if d.opt.Hold {
 		if d.opt.Act != nil {
@@ -459,7 +482,7 @@
 	d.mu.Lock()
 	who := fmt.Sprint("caller", no)
 	d.number[who]++
-	c := fleet.Command{V: fleet.Form, Caller: who, Number: d.number[who], Do: do, ID: worker, Zone: zone, By: who,
+	c := fleet.Command{V: 1, Caller: who, Number: d.number[who], Do: do, ID: worker, Zone: zone, By: who,
 		Why: fmt.Sprint(who, " ", d.number[who]), Force: true}
 	d.mu.Unlock()
 	op := d.hist.begin(no, worker, do)
@@ -746,7 +769,11 @@
 
 // knownBy is what a scheduler says itself of who is out there, and of the numbers in force.
 func (d *day) knownBy(s int) (k knownBy, err error) {
-	return k, (&agent.Caller{HTTP: d.http, Addrs: []string{d.Member(s).Mgmt}}).Get(d.ctx, "/ops/fence", &k)
+	addrs := []string{d.Member(s).Mgmt}
+	if d.opt.Runs { // the one that its present process has
+		addrs = append(addrs, d.live.Minders()[s].Beside)
+	}
+	return k, (&agent.Caller{HTTP: d.http, Addrs: addrs}).Get(d.ctx, "/ops/fence", &k)
 }
 
 func (d *day) serves(s int) error {
@@ -1046,6 +1073,6 @@
 func (d *day) Ask(no int, c fleet.Command) (a fleet.Answer, err error) {
 	ctx, stop := context.WithTimeout(d.ctx, 4*time.Second)
 	defer stop()
-	c.V = fleet.Form
+	c.V = fleet.FormOf(&c)
 	return (&agent.Caller{HTTP: agent.NewHTTP(nil, 3*time.Second), Addrs: d.At(no)}).Do(ctx, c)
 }
--- /dev/null
+++ b/lab/cluster/ops.go
@@ -0,0 +1,185 @@
+package cluster
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"shalebeam/agent"
+	"shalebeam/fleet"
+	"shalebeam/lab/live"
+)
+
+// Days on which agents run the schedulers. Who is out is counted from what the lab sees itself: whether each scheduler
+// answers as a front asks it, and how the workers' own machines stand.
+
+const sampleEach = 25 * time.Millisecond
+
+func (d *day) mark() string {
+	if !d.opt.Runs {
+		return ""
+	}
+	return "BEAM_RUN=" + d.dir + string(filepath.Separator)
+}
+
+// begin has agents run the schedulers, and know the workers.
+func (d *day) begin(f *live.Fleet) error {
+	for i, m := range f.Minders() {
+		for _, p := range d.agents {
+			for _, addr := range []string{m.Mgmt, m.Beside} {
+				name := m.ID
+				if addr == m.Beside {
+					name += "'"
+				}
+				if err := d.link(p, name, addr); err != nil {
+					return err
+				}
+			}
+		}
+		p := d.agents[i%len(d.agents)]
+		p.file.Scheduler = append(p.file.Scheduler, agent.Local{ID: m.ID, Zone: m.Zone, Addr: m.Mgmt, Beside: m.Beside, Program: d.opt.Program,
+			Config: m.Config, Tmp: m.Dir})
+	}
+	if err := os.MkdirAll(filepath.Join(d.dir, "renew"), 0o755); err != nil {
+		return err
+	}
+	workers := f.Workers()
+	for i, id := range sorted(workers) {
+		p := d.agents[i%len(d.agents)]
+		at := filepath.Join(d.dir, "renew", "{worker}.{step}")
+		// The site's own command: it says what it wants, and waits until the lab has done it. Begun twice it says so.
+		p.file.Worker = append(p.file.Worker, agent.Site{ID: id, Zone: workers[id], Capacity: 2, Command: []string{"/bin/sh", "-c",
+			fmt.Sprintf("if [ -e %s.go ]; then : > %s.twice; fi; : > %s.go; n=0; while [ ! -e %s.done ] && [ $n -lt 400 ]; do sleep 0.05; n=$((n+1)); done; [ -e %s.done ]",
+				at, at, at, at, at)}})
+	}
+	for _, p := range d.agents {
+		p.file.ReadyMost = agent.Span(4 * time.Second)
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sorted[V any](m map[string]V) (keys []string) {
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// renewals does what the site's command asks for.
+func (d *day) renewals() {
+	done := map[string]bool{}
+	for d.ctx.Err() == nil {
+		d.rest(20 * time.Millisecond)
+		all, _ := filepath.Glob(filepath.Join(d.dir, "renew", "*"))
+		for _, path := range all {
+			base := filepath.Base(path)
+			switch {
+			case strings.HasSuffix(base, ".twice") && !done[base]:
+				done[base] = true
+				d.broke("the command for %s was begun twice", strings.TrimSuffix(base, ".twice"))
+			case strings.HasSuffix(base, ".go") && !done[base]:
+				done[base] = true
+				worker, _, _ := strings.Cut(base, ".")
+				go func() {
+					d.live.Renew(worker, 100*time.Millisecond)
+					_ = os.WriteFile(strings.TrimSuffix(path, ".go")+".done", nil, 0o600)
+				}()
+			}
+		}
+	}
+}
+
+// sample counts who is out by will, faster than any step.
+func (d *day) sample() {
+	said := map[string]bool{}
+	for d.ctx.Err() == nil {
+		d.rest(sampleEach)
+		limits := d.limitsNow()
+		if limits == nil {
+			continue
+		}
+		rec := fleet.NewRecord()
+		will := []string{}
+		for _, s := range d.live.Truth() {
+			rec.Members[s.ID] = fleet.Member{ID: s.ID, Kind: "scheduler", Zone: s.Zone}
+			rec.Health[s.ID] = fleet.Seen{State: fleet.InService}
+			if s.Out && !s.Fell {
+				rec.Health[s.ID] = fleet.Seen{State: "out"}
+				will = append(will, s.ID)
+			}
+		}
+		rec.Limits = limits
+		for _, id := range will { // each counts with all the others
+			for _, c := range rec.Room(id) {
+				if c.Why != "" && !said[c.Why] {
+					said[c.Why] = true
+					d.broke("by truth: %s: %v", c.Why, c.Out)
+				}
+			}
+		}
+		d.mu.Lock()
+		d.rep.Most = max(d.rep.Most, len(will))
+		d.mu.Unlock()
+	}
+}
+
+func (d *day) limitsNow() []fleet.Limit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.limits
+}
+
+// Limits sets what may be out. Looser ones count from before they are asked for, tighter ones from the yes on, for those that
+// go out after it.
+func (d *day) Limits(all []fleet.Limit) bool {
+	a, err := d.person(fleet.Command{Do: "limits", Limits: all})
+	if err == nil && a.Done {
+		d.mu.Lock()
+		d.limits = all
+		d.mu.Unlock()
+		return true
+	}
+	return false
+}
+
+// person asks for a change as one does who sends it again till somebody says what came of it.
+func (d *day) person(c fleet.Command) (a fleet.Answer, err error) {
+	d.mu.Lock()
+	d.turn++
+	c.Caller, c.Number, c.V = fmt.Sprint("person", d.turn), 1, fleet.FormOf(&c)
+	d.mu.Unlock()
+	if c.By == "" {
+		c.By = "ann"
+	}
+	for end := time.Now().Add(healMost); time.Now().Before(end) && d.ctx.Err() == nil; d.rest(100 * time.Millisecond) {
+		if a, err = (&agent.Caller{HTTP: d.http, Addrs: d.addrs(nil)}).Do(d.ctx, c); err == nil {
+			return a, nil
+		}
+	}
+	return a, err
+}
+
+// Begin begins an operation and returns its id, "" where it was refused.
+func (d *day) Begin(op fleet.Op) (id, why string) {
+	a, err := d.person(fleet.Command{Do: "begin", Op: &op})
+	if err != nil || !a.Done {
+		return "", fmt.Sprint(a.Why, err)
+	}
+	return fmt.Sprintf("%s-%d", op.Kind, a.No), ""
+}
+
+// Op is an operation as the record has it, nil where it can't be read.
+func (d *day) Op(id string) *fleet.Op {
+	r, err := d.read(d.ctx)
+	if err != nil {
+		return nil
+	}
+	return r.Ops[id]
+}
--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -63,7 +63,8 @@
 	cmd := exec.Command(p.d.opt.Agent, "serve", "--config", p.path(".toml"))
 	// It ends with the test, whatever happens to that.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	cmd.Env = append(os.Environ(), "SHALEBEAM_FAULTS="+p.path(".faults"), "SHALEBEAM_BUG="+p.d.opt.Bug)
+	cmd.Env = append(os.Environ(), "SHALEBEAM_FAULTS="+p.path(".faults"), "SHALEBEAM_BUG="+p.d.opt.Bug,
+		fmt.Sprint("SHALEBEAM_LEASH=", os.Getpid()))
 	log, err := os.OpenFile(p.path(".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/lab/council/council.go
+++ b/lab/council/council.go
@@ -246,7 +246,7 @@
 
 // ask sends a command to whoever leads, again until something comes of it or its time is over.
 func (w *world) ask(from string, c fleet.Command, most float64, then func(fleet.Answer)) {
-	c.V = fleet.Form
+	c.V = fleet.FormOf(&c)
 	raw, _ := json.Marshal(c)
 	key, over, until := fmt.Sprint(c.Caller, " ", c.Number), false, w.now+most
 	var try func()
@@ -381,7 +381,7 @@
 			w.send(a, name, fleet.Command{Do: "renew", Matter: name, Owner: a.duty.Owner, Fence: c.hold.Fence},
 				func(got fleet.Answer) { c.hold.Renewed(got.Done) })
 		}
-		c.teller.Follow(a.rec.Of("scheduler"), a.rec.Workers, c.zone)
+		c.teller.Follow(now, a.rec, c.zone)
 		for call, ok := c.teller.Next(now); ok; call, ok = c.teller.Next(now) {
 			w.call(a, c, call)
 		}
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -81,6 +81,11 @@
 	staffing       sync.Mutex // calls at its second address
 	most           int        // the most memory seen, in kB
 	client         *http.Client
+	// Of one that others run: see minded.go.
+	beside       string
+	pids         []int
+	serves, fell bool
+	looks        []bool
 }
 
 var ports sync.Map
@@ -120,7 +125,10 @@
 	c := map[string]any{"name": n.name(), "listen": n.addr, "discovery": n.disc,
 		"seed":   strconv.FormatUint(seed, 16),
 		"limits": map[string]any{"cores": 1, "memory_mb": 384, "sockets": 4096},
-		"known":  json.RawMessage(n.known), "settings": settings(n.w.p, n.no, n.w.phaseNow()), "mgmt": n.mgmt}
+		"known":  json.RawMessage(n.known), "settings": settings(n.w.p, n.no, n.w.phaseNow())}
+	if n.w.opt.Mark == "" {
+		c["mgmt"] = n.mgmt
+	}
 	if n.w.opt.Agent != nil {
 		c["agent"] = n.w.opt.Agent(n.no)
 	}
@@ -143,7 +151,7 @@
 func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cmd != nil || n.w.ctx.Err() != nil {
+	if n.cmd != nil || n.w.ctx.Err() != nil || n.w.opt.Mark != "" {
 		return nil
 	}
 	n.lives.Add(1)
@@ -227,6 +235,9 @@
 
 // signal sends one to the process, if there is any.
 func (n *node) signal(s syscall.Signal) bool {
+	if n.w.opt.Mark != "" {
+		return n.signalAll(s)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.cmd == nil {
--- a/lab/live/world.go
+++ b/lab/live/world.go
@@ -54,6 +54,10 @@
 	Env      []string              // more of the schedulers' environment
 	// Fleet is called once all schedulers serve; what it returns is waited for before they are ended.
 	Fleet func(f *Fleet) (wait func())
+	// Mark is what stands in the environment of schedulers that others start, before "|ID|...": the lab starts none then.
+	// Logs holds a folder for each of those others with its schedulers' logs; Begin has them begin, once all is prepared.
+	Mark, Logs string
+	Begin      func(f *Fleet) error
 }
 
 // Fleet is a running day, for those who act on it from outside the plan.
@@ -65,7 +69,7 @@
 // Schedulers lists the schedulers.
 func (f *Fleet) Schedulers() (all []Member) {
 	for _, n := range f.w.nodes {
-		all = append(all, Member{n.name(), f.w.p.Schedulers.Zones[n.zone], n.mgmt, filepath.Join(f.w.dir, n.name()+".log")})
+		all = append(all, Member{n.name(), f.w.p.Schedulers.Zones[n.zone], n.mgmt, n.log()})
 	}
 	return all
 }
@@ -90,6 +94,10 @@
 // machine. Stop has it stand still for so long.
 func (f *Fleet) Kill(no int, again time.Duration) {
 	n := f.w.nodes[no]
+	if f.w.opt.Mark != "" {
+		n.signal(syscall.SIGKILL)
+		return // its agent starts it again
+	}
 	if n.signal(syscall.SIGKILL) {
 		time.AfterFunc(again, func() {
 			_ = os.Remove(filepath.Join(f.w.dir, "shalebeam-"+strings.ReplaceAll(n.addr, ":", "-")+".out"))
@@ -359,6 +367,9 @@
 		if n.mgmt, err = freeAddr("tcp"); err != nil {
 			return err
 		}
+		if n.beside, err = freeAddr("tcp"); err != nil {
+			return err
+		}
 		if n.disc, err = w.disc.open(i); err != nil {
 			return err
 		}
@@ -367,6 +378,18 @@
 	if err := w.relay.open(w); err != nil {
 		return err
 	}
+	if w.opt.Mark != "" {
+		for i, n := range w.nodes {
+			if n.known = w.disc.whole(i); n.known == nil {
+				return fmt.Errorf("no list for %s", n.name())
+			}
+			if err := n.write(); err != nil {
+				return err
+			}
+		}
+		go w.mind()
+		return w.opt.Begin(&Fleet{w})
+	}
 	for _, n := range w.nodes {
 		if err := n.start(); err != nil {
 			return err
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -605,7 +605,7 @@
 		var c fleet.Command
 		_ = json.Unmarshal(e.Data, &c)
 		if a.Done && (c.Do == "claim" || c.Do == "renew") {
-			n.Keeper.Applied(now, c.Matter)
+			n.Keeper.Applied(now, &c)
 		}
 		n.done = append(n.done, Done{c.Caller, c.Number, a})
 	}
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -296,6 +296,11 @@
 		c.answer(409, "Request-Id is in use\n", -1)
 		return
 	}
+	if planted("declines-all") {
+		c.s.drive.finals.Declined++
+		c.answer(503, "declined\n", -1)
+		return
+	}
 	c.t = c.s.drive.arrive(c, a)
 }
 
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -40,6 +40,7 @@
 	ended   int // postings that have ended and may still stand there
 	stopAt  float64
 	sweepAt float64
+	finals  finals
 }
 
 // sweepEvery is how often idle and slow connections are looked over: their limits are seconds.
@@ -85,6 +86,7 @@
 	t.out--
 	if how == balance.Done && !t.over {
 		t.over = true
+		d.finals.Settled++
 		t.from.answer(200, result, -1)
 	}
 	d.mod.Ended(d.s.now(), t.ref, p.no, how, t.over, load)
@@ -136,8 +138,10 @@
 		if t := d.txns[f.Ref]; t != nil && !t.over {
 			t.over = true
 			if f.Declined {
+				d.finals.Declined++
 				t.from.answer(503, "declined\n", f.Stay)
 			} else {
+				d.finals.Reversed++
 				t.from.answer(502, "reversed\n", -1)
 			}
 			d.forget(t)
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -90,11 +90,39 @@
 	Start  string            `json:"start"`
 	Fences map[string]uint64 `json:"fences"`
 	Out    map[string]string `json:"out"` // workers that the fleet took out, and the matter
+	Phase  string            `json:"phase"`
+	Txns   finals            `json:"txns"`
+	// Workers are those that the list has running, of the zone that was asked for: "warm", "cold", or "busy" for one that is
+	// out while postings of this scheduler still run there.
+	Workers map[string]string `json:"workers,omitempty"`
 	Stale  bool              `json:"stale,omitempty"`
 }
 
-func (o *ops) known() string {
-	k := known{Name: o.s.node.Name, Start: o.fleet.start, Fences: o.fleet.numbers, Out: map[string]string{}}
+// finals counts the answers of this process, by what came of the txn.
+type finals struct {
+	Settled  int `json:"settled"`
+	Declined int `json:"declined"`
+	Reversed int `json:"reversed"`
+}
+
+func (o *ops) known(zone string) string {
+	k := known{Name: o.s.node.Name, Start: o.fleet.start, Fences: o.fleet.numbers, Out: map[string]string{},
+		Phase: o.s.phase.String(), Txns: o.s.drive.finals}
+	if zone != "" {
+		k.Workers = map[string]string{}
+		zones := o.s.node.told.Zones
+		o.s.drive.mod.Shown(o.s.now(), func(id string, at int, cold bool, own int) {
+			switch {
+			case at < 0 || at >= len(zones) || zones[at] != zone:
+			case o.staffed[id].out() && own > 0:
+				k.Workers[id] = "busy"
+			case cold:
+				k.Workers[id] = "cold"
+			default:
+				k.Workers[id] = "warm"
+			}
+		})
+	}
 	for id, r := range o.staffed {
 		if r.out() && r.Fleet != "" {
 			k.Out[id] = r.Fleet
--- a/scheduler/ops.go
+++ b/scheduler/ops.go
@@ -146,7 +146,7 @@
 
 // call carries out one call.
 func (o *ops) call(q *http1.Request) (status int, body string) {
-	path, _, _ := strings.Cut(q.Target, "?")
+	path, more, _ := strings.Cut(q.Target, "?")
 	by, err := fencedBy(q)
 	if err != nil {
 		return 400, err.Error() + "\n"
@@ -155,7 +155,7 @@
 	case "/ops/fence":
 		switch {
 		case q.Method == "GET":
-			return 200, o.known()
+			return 200, o.known(strings.TrimPrefix(more, "zone="))
 		case q.Method != "POST":
 			return 405, "GET or POST\n"
 		case by == nil:
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -13,6 +13,7 @@
 	"log"
 	"math"
 	"net"
+	"os"
 	"runtime"
 	"strings"
 	"time"
@@ -97,6 +98,10 @@
 	if lim.Cores > 0 {
 		runtime.GOMAXPROCS(max(int(math.Ceil(lim.Cores)), 1))
 	}
+	if planted("never-ready") {
+		<-ctx.Done()
+		return nil
+	}
 	s.handover.enter()
 	s.handover.bound()
 	s.ops.ask()
@@ -204,11 +209,14 @@
 	s.roster.begin()
 	s.enter(serving)
 	s.handover.serves()
+	if planted("crashes-later") {
+		time.AfterFunc(4*time.Second, func() { os.Exit(3) })
+	}
 }
 
 // drain begins a planned stop. The module hears of the end, as each txn then has less time than its expiry.
 func (s *Scheduler) drain() {
-	if s.phase >= draining {
+	if s.phase >= draining || planted("ignores-term") {
 		return
 	}
 	s.enter(draining)
