beamctl begins, halts, turns back and explains operations; simulated and real hard cases

Need: people ask for operations, halts and ways back; and each hard case is to be shown between processes.

A halt goes to every agent and the record, with a table of who obeyed. lab/council plays operations in simulated time with the shipped carriers, doers and minders; lab/cluster has agents run real schedulers, counts who is out from its own looks, and plays owners killed between permit and step, two drains with room for one, programs that never get ready, decline all or fall, a halt told to one agent that is cut off, an owner that sleeps through a halt, workers renewed by a site's command.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -113,6 +113,7 @@
 	l.Info("agent runs", "name", f.Name, "addr", a.addr, "owner", a.owner, "voter", f.voter() != nil)
 	go a.follow(ctx)
 	go a.register(ctx)
+	go a.runs.agree(ctx)
 	tick := time.NewTicker(dutyEach)
 	defer tick.Stop()
 	for {
@@ -292,7 +293,7 @@
 		}
 		if c.carrier != nil {
 			if c.carrier.Follow(now, a.rec); c.carrier.Over() && a.rec.Matters[name].Owner == a.owner {
-				if c.calls == 0 && !a.asking[name] {
+				if c.calls == 0 && !a.asking[name] && !a.asking[name+"/steps"] {
 					delete(a.has, name)
 					a.ask(ctx, name, fleet.Command{Do: "leave", Matter: name, Owner: a.owner, Fence: c.hold.Fence, By: a.file.Name}, nil)
 				}
@@ -379,8 +380,12 @@
 		c.calls++
 		go a.sample(ctx, c, m)
 	}
-	if cmd, ok := c.carrier.NextCommand(now); ok && !a.asking[name] {
-		a.ask(ctx, name, cmd, func(got fleet.Answer, err error) {
+	steps := name + "/steps" // beside renewals, which else would hold them up
+	if a.asking[steps] {
+		return
+	}
+	if cmd, ok := c.carrier.NextCommand(now); ok {
+		a.ask(ctx, steps, cmd, func(got fleet.Answer, err error) {
 			if err == nil && got.Done {
 				a.log.Info("step", "op", c.carrier.ID, "do", cmd.Do, "of", cmd.ID, "to", cmd.To, "no", got.No, "why", cmd.Why)
 			} else if err == nil {
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -69,14 +70,16 @@
 }
 
 type runs struct {
-	a      *Agent
-	disk   quorum.Disk
-	data   string
-	mu     sync.Mutex
-	kept   kept
-	all    map[string]*runner
-	tidied time.Time
-	http   *http.Client // to this machine's own processes
+	a       *Agent
+	disk    quorum.Disk
+	data    string
+	mu      sync.Mutex
+	kept    kept
+	all     map[string]*runner
+	tidied  time.Time
+	http    *http.Client    // to this machine's own processes
+	agreed  bool            // the record was read since the start
+	touched map[string]bool // schedulers of which a step was begun since the start
 }
 
 type runner struct {
@@ -121,7 +124,7 @@
 }
 
 func newRuns(a *Agent, disk quorum.Disk) (*runs, error) {
-	r := &runs{a: a, disk: disk, all: map[string]*runner{}, kept: kept{fleet.NewDoer(a.start), map[string]*ran{}}, http: NewHTTP(nil, callMost)}
+	r := &runs{a: a, disk: disk, all: map[string]*runner{}, kept: kept{fleet.NewDoer(a.start), map[string]*ran{}}, http: NewHTTP(nil, callMost), touched: map[string]bool{}}
 	if disk == nil {
 		return r, nil
 	}
@@ -164,17 +167,47 @@
 			k = &ran{Run: true, Pairs: map[uint64]pair{0: p}, Former: map[string]pair{}}
 			r.kept.Runs[l.ID] = k
 		}
-		x.minder.Good(k.Good)
-		x.minder.Wants(now, k.Run, k.Gen)
 		r.all[l.ID] = x
 	}
 	if len(r.all) == 0 {
+		r.agreed = true
 		return r, nil
 	}
 	r.adopt(now)
 	return r, r.keep()
 }
 
+// agree sets what runs by the record, once that was read for sure: this agent's notes may be of an older disk, and a
+// scheduler that it then ended, or left down, nobody would count.
+func (r *runs) agree(ctx context.Context) {
+	for ctx.Err() == nil && !r.agreed {
+		within, stop := context.WithTimeout(ctx, callMost)
+		rec, err := r.a.fresh(within)
+		stop()
+		if err != nil || rec.No == 0 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+			continue
+		}
+		r.mu.Lock()
+		for id, x := range r.all {
+			k := r.kept.Runs[id]
+			run := rec.ShouldRun(id, k.Run)
+			if r.touched[id] || run == k.Run {
+				continue
+			}
+			r.a.log.Warn("the record has it otherwise", "scheduler", id, "run", run)
+			k.Run = run
+			x.minder.Wants(r.a.clock.Now(), k.Run, k.Gen)
+		}
+		r.agreed = true
+		r.mustKeep()
+		r.mu.Unlock()
+	}
+}
+
 // expiry is how long a process may need to end, in ms: its longest txn, and its own planned stop.
 func expiry(config string) (float64, error) {
 	raw, err := os.ReadFile(config)
@@ -202,6 +235,12 @@
 
 // adopt finds the processes that a former life of this agent left.
 func (r *runs) adopt(now float64) {
+	type left struct {
+		slot int
+		gen  uint64
+		of   pair
+	}
+	found := map[string][]left{}
 	dirs, _ := filepath.Glob("/proc/[0-9]*/environ")
 	for _, path := range dirs {
 		raw, err := os.ReadFile(path)
@@ -226,14 +265,43 @@
 				continue
 			}
 			x.procs[slot] = &process{pid: pid, ticks: ticks}
-			// The one that was known to serve is taken to serve: ended as unwanted, nothing would.
-			ready := gen == r.kept.Runs[x.ID].Good
-			if x.minder.Adopt(fleet.Proc{Slot: slot, Gen: gen, Since: now, Ready: ready}); ready {
-				x.place = slot
-			}
+			found[x.ID] = append(found[x.ID], left{slot, gen, pairOf(pid, string(raw))})
 			r.a.log.Info("adopted", "scheduler", x.ID, "pid", pid, "place", slot, "step", gen)
 		}
 	}
+	for id, x := range r.all {
+		k, all := r.kept.Runs[id], found[id]
+		slices.SortFunc(all, func(a, b left) int { return cmp.Compare(a.gen, b.gen) })
+		if n := len(all); n > 0 && !slices.ContainsFunc(all, func(l left) bool { return l.gen == k.Gen }) {
+			// Notes of an older disk: what runs is what was last wanted, and ended as unknown nothing would serve.
+			k.Gen, k.Good = all[n-1].gen, all[0].gen
+			r.a.log.Warn("what runs is not what was noted", "scheduler", id, "step", k.Gen)
+		}
+		for _, l := range all {
+			k.Run, k.Pairs[l.gen] = true, l.of // till the record says otherwise
+		}
+		x.minder.Good(k.Good)
+		x.minder.Wants(now, k.Run, k.Gen)
+		for _, l := range all {
+			// The one that was known to serve is taken to serve.
+			ready := l.gen == k.Good
+			if x.minder.Adopt(fleet.Proc{Slot: l.slot, Gen: l.gen, Since: now, Ready: ready}); ready {
+				x.place = l.slot
+			}
+		}
+	}
+}
+
+// pairOf is what a process runs, by what the system says of it.
+func pairOf(pid int, environ string) (p pair) {
+	exe, _ := os.Readlink(fmt.Sprintf("/proc/%d/exe", pid))
+	p.Program = strings.TrimSuffix(filepath.Base(exe), " (deleted)")
+	for _, env := range strings.Split(environ, "\x00") {
+		if path, ok := strings.CutPrefix(env, "BALANCER_CONFIG="); ok {
+			p.Config = filepath.Base(path)
+		}
+	}
+	return p
 }
 
 // keep writes what must not be forgotten, and returns once it is.
@@ -554,7 +622,11 @@
 	}
 	r := a.runs
 	if do.Call == "look" {
-		say(w, 200, fleet.Did{State: "going", Start: a.start})
+		r.mu.Lock()
+		x := r.all[do.Member]
+		down := x != nil && x.minder.Down()
+		r.mu.Unlock()
+		say(w, 200, fleet.Did{State: "going", Start: a.start, Down: down})
 		return
 	}
 	r.mu.Lock()
@@ -606,6 +678,7 @@
 		say(w, 200, fleet.Did{State: "refused", Why: "it could not be kept: " + err.Error(), Start: a.start})
 		return
 	}
+	r.touched[do.Member] = true
 	n := r.kept.Doer.Notes[do.Member]
 	a.log.Info("begun", "op", do.Op, "member", do.Member, "call", do.Call, "step", do.No, "takes", fleet.Takes(rec.Ops[do.Op].Steps[do.Member]),
 		"state", n.State, "why", n.Why)
@@ -647,6 +720,8 @@
 	case op.Kind == "release" && (op.Back || s.Undo):
 		if kept {
 			want = former
+		} else if now.Program == op.Version.Digest {
+			return errors.New("what ran before is not kept here")
 		}
 		for _, name := range []string{want.Program, want.Config} {
 			if err := r.whole(name); err != nil {
--- a/cmd/beamctl/main.go
+++ b/cmd/beamctl/main.go
@@ -107,10 +107,31 @@
 	w.Flush()
 }
 
-type status struct{}
+type status struct {
+	Watch bool `help:"Again each second, until Ctrl-C or --timeout."`
+}
+
+// Run shows what needs a person, then each agent as it answers itself.
+func (c *status) Run(g *global, ctx context.Context) error {
+	for c.Watch && ctx.Err() == nil {
+		fmt.Print("\033[H\033[2J", time.Now().Format(time.TimeOnly), "\n")
+		err := c.once(g, ctx)
+		var e exit
+		if errors.As(err, &e) {
+			fmt.Println(e.why)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+	if c.Watch {
+		return nil
+	}
+	return c.once(g, ctx)
+}
 
-// Run shows each agent as it answers itself.
-func (status) Run(g *global, ctx context.Context) error {
+func (*status) once(g *global, ctx context.Context) error {
 	type row struct {
 		agent.Status
 		Addr string `json:"addr"`
@@ -140,6 +161,11 @@
 		rows = append(rows, r)
 	}
 	g.write(rows, func(w *tabwriter.Writer) {
+		if err == nil {
+			for _, text := range needs(rec) {
+				fmt.Fprintln(w, text)
+			}
+		}
 		fmt.Fprintln(w, "AGENT\tZONE\tADDR\tVOTER\tRECORD\tOWNS")
 		for _, r := range rows {
 			voter := "-"
@@ -158,6 +184,15 @@
 				owns = r.Err
 			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", r.Name, r.Zone, r.Addr, voter, r.No, owns)
+			for _, x := range r.Runs {
+				if !x.Run && x.State == "done" {
+					x.State = "stopped"
+				}
+				fmt.Fprintf(w, "  %s\t%s\t%s\t%v\t%.12s\t%s\n", x.ID, x.State, x.Addr, x.Pids, x.Program, x.Why)
+			}
+			for _, h := range r.Halts {
+				fmt.Fprintf(w, "  halted here: %s by %s: %s\n", h.Of, h.By, h.Why)
+			}
 		}
 	})
 	switch {
@@ -172,9 +207,10 @@
 }
 
 type workerDown struct {
-	ID   string `arg:"" help:"The worker."`
-	Zone string `help:"Its zone, where it is not on record yet."`
-	Why  string `help:"For the audit."`
+	ID    string `arg:"" help:"The worker."`
+	Zone  string `help:"Its zone, where it is not on record yet."`
+	Why   string `help:"For the audit."`
+	Force bool   `help:"Also where the limits have no room."`
 }
 
 type workerUp struct {
@@ -184,7 +220,7 @@
 }
 
 func (c *workerDown) Run(g *global, ctx context.Context) error {
-	return g.change(ctx, fleet.Command{Do: "out", ID: c.ID, Zone: c.Zone, Why: c.Why})
+	return g.change(ctx, fleet.Command{Do: "out", ID: c.ID, Zone: c.Zone, Why: c.Why, Force: c.Force})
 }
 
 func (c *workerUp) Run(g *global, ctx context.Context) error {
@@ -348,12 +384,13 @@
 }
 
 type memberRemove struct {
-	ID  string `arg:""`
-	Why string `help:"For the audit: a scheduler that is removed counts as known to be gone."`
+	ID    string `arg:""`
+	Why   string `help:"For the audit: a scheduler that is removed counts as known to be gone."`
+	Force bool   `help:"Also where it is out for an operation."`
 }
 
 func (c *memberRemove) Run(g *global, ctx context.Context) error {
-	return g.plain(ctx, fleet.Command{Do: "unmember", ID: c.ID, Why: c.Why})
+	return g.plain(ctx, fleet.Command{Do: "unmember", ID: c.ID, Why: c.Why, Force: c.Force})
 }
 
 func (g *global) plain(ctx context.Context, c fleet.Command) error {
@@ -439,7 +476,28 @@
 			Remove  memberRemove  `cmd:"" help:"Take one off."`
 			Replace memberReplace `cmd:"" help:"Replace a voter that is gone for good."`
 		} `cmd:"" help:"Members and voters."`
-		Check check `cmd:"" help:"Check an agent's configuration."`
+		Plan    planCmd `cmd:"" help:"What an operation's file would do, and what would keep it."`
+		Release struct {
+			Start  releaseStart  `cmd:"" help:"Begin the operation of a file."`
+			Status releaseStatus `cmd:"" help:"How far it is."`
+			Halt   releaseHalt   `cmd:"" help:"Nothing new goes out for it."`
+			Resume releaseResume `cmd:"" help:"Lift its halt."`
+			Back   releaseBack   `cmd:"" help:"Go back to what ran before."`
+			Close  releaseClose  `cmd:"" help:"End it for good: what ran before is not kept any more."`
+			List   releaseList   `cmd:"" help:"All operations."`
+		} `cmd:"" help:"Releases and other operations."`
+		Drain    drainCmd    `cmd:"" help:"Take schedulers or workers out, within the limits."`
+		Undrain  undrainCmd  `cmd:"" help:"Bring back what was drained."`
+		Restart  restartCmd  `cmd:"" help:"Restart schedulers, or run workers' own command, within the limits."`
+		Maintain maintainCmd `cmd:"" help:"Out, wait, restart, back, warm."`
+		Halt     haltCmd     `cmd:"" help:"Nothing new is taken out: of one operation, a zone or all."`
+		Lift     liftCmd     `cmd:"" help:"End a halt."`
+		Limits   struct {
+			Show limitsShow `cmd:"" default:"1" help:"Those in force."`
+			Set  limitsSet  `cmd:"" help:"Put others in their place."`
+		} `cmd:"" help:"How many may be out together."`
+		Why   whyCmd `cmd:"" help:"Why a member may not go out now."`
+		Check check  `cmd:"" help:"Check an agent's configuration."`
 	}
 	k := kong.Parse(&cli, kong.Name("beamctl"), kong.Description("The fleet's command line."))
 	ctx, stop := context.WithTimeout(context.Background(), cli.Timeout)
--- a/cmd/beamlab/cluster.go
+++ b/cmd/beamlab/cluster.go
@@ -134,6 +134,8 @@
 	Voters     int     `default:"5" help:"How many voters."`
 	Schedulers int     `default:"4" help:"How many schedulers."`
 	For        float64 `default:"15000" help:"How many ms faults come."`
+	Ops        bool    `help:"Agents run the schedulers; an operation is carried, halted, turned back."`
+	Workers    int     `default:"0" help:"How many workers are part of it."`
 }
 
 // Run plays the runs and names each that broke something, with the command that plays it again.
@@ -141,13 +143,14 @@
 	broken, changes, owners, refused, replaced, letters := 0, 0, 0, 0, 0, 0
 	played := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Runs) && ctx.Err() == nil; seed++ {
-		r := council.Play(council.Options{Seed: seed, Voters: c.Voters, Agents: c.Agents, Schedulers: c.Schedulers, For: c.For, Bug: c.Plant})
+		r := council.Play(council.Options{Seed: seed, Voters: c.Voters, Agents: c.Agents, Schedulers: c.Schedulers, For: c.For, Bug: c.Plant, Ops: c.Ops,
+			Workers: c.Workers})
 		played++
 		changes, owners, refused, replaced, letters = changes+r.Changes, owners+r.Owners, refused+r.Refused, replaced+r.Replaced, letters+r.Letters
 		if len(r.Breaks) > 0 {
 			broken++
-			fmt.Printf("run %d: %s\n  again: beamlab cluster runs --runs 1 --seed %d --agents %d --voters %d --schedulers %d --for %g%s\n", seed,
-				r.Breaks[0], seed, c.Agents, c.Voters, c.Schedulers, c.For, map[bool]string{true: " --plant " + c.Plant}[c.Plant != ""])
+			fmt.Printf("run %d: %s\n  again: beamlab cluster runs --runs 1 --seed %d --agents %d --voters %d --schedulers %d --for %g --ops=%t --workers %d%s\n", seed,
+				r.Breaks[0], seed, c.Agents, c.Voters, c.Schedulers, c.For, c.Ops, c.Workers, map[bool]string{true: " --plant " + c.Plant}[c.Plant != ""])
 		}
 	}
 	fmt.Printf("%d runs: %d broken; %d changes, %d owners, %d late calls refused, %d voters replaced, %d letters\n", played, broken, changes, owners,
@@ -194,8 +197,9 @@
 }
 
 type clusterDemo struct {
-	For   time.Duration `default:"10m" help:"How long, unless Ctrl-C comes first."`
-	Fault []string      `sep:"none" placeholder:"FAULT" help:"As 'kill a0 at=5s for=3s', 'stop a1 ...', 'cut a2 ...', 'stall a2 ...', 'kill s1 ...'. May be given more than once."`
+	Operations bool          `help:"Agents run the schedulers, so that they can be restarted, drained and released."`
+	For        time.Duration `default:"10m" help:"How long, unless Ctrl-C comes first."`
+	Fault      []string      `sep:"none" placeholder:"FAULT" help:"As 'kill a0 at=5s for=3s', 'stop a1 ...', 'cut a2 ...', 'stall a2 ...', 'kill s1 ...'. May be given more than once."`
 }
 
 // Run brings up a fleet on loopback with the ordinary programs, and prints the lines to try.
@@ -225,13 +229,17 @@
 	defer os.RemoveAll(dir)
 	ctx, stop := context.WithTimeout(ctx, c.For)
 	defer stop()
-	_, err = cluster.Play(ctx, cluster.Options{Seed: 1, Dir: dir, Hold: true, Program: beside("shalebeam"), Agent: beside("beamagent"),
+	_, err = cluster.Play(ctx, cluster.Options{Seed: 1, Dir: dir, Hold: true, Runs: c.Operations, Program: beside("shalebeam"), Agent: beside("beamagent"),
 		Tell: func(text string) { fmt.Println(text) }, Act: func(d *cluster.Day) {
 			addrs, worker, zone := d.Try()
 			fmt.Printf("\nthree agents and four schedulers run. In another window:\n\n")
 			fmt.Printf("  export BEAM_AGENT=%s\n  %s status\n", strings.Join(addrs, ","), beside("beamctl"))
 			fmt.Printf("  %s worker down %s --zone %s --why maintenance\n  %s worker up %s\n  %s events\n\n", beside("beamctl"), worker, zone,
 				beside("beamctl"), worker, beside("beamctl"))
+			if c.Operations {
+				fmt.Printf("  %s restart s0 s1 s2 s3\n  %s drain s1\n  %s why s2\n  %s undrain s1\n  %s halt all --why look\n  %s lift all\n\n", beside("beamctl"),
+					beside("beamctl"), beside("beamctl"), beside("beamctl"), beside("beamctl"), beside("beamctl"))
+			}
 			d.Script(faults)
 		}})
 	if ctx.Err() != nil {
--- a/fleet/carrier.go
+++ b/fleet/carrier.go
@@ -11,6 +11,7 @@
 	sampleEach = 500.0
 	grantEach  = 500.0 // after a grant that was refused
 	lostMost   = 2     // where the file names none
+	backMost   = 20000 // for a scheduler whose new process was ready to be seen in service
 )
 
 // Do is a call to make at a member's agent. It is the same call until its step has moved on.
@@ -29,7 +30,8 @@
 	Reached bool   `json:"-"`
 	State   string `json:"state"` // done, going, failed, refused, unknown
 	Why     string `json:"why,omitempty"`
-	Start   string `json:"start"` // of the agent that answered
+	Start   string `json:"start"`          // of the agent that answered
+	Down    bool   `json:"down,omitempty"` // no process of the member serves, as its agent sees it
 }
 
 // Txns counts a scheduler's answers since its process began.
@@ -46,7 +48,8 @@
 	since  float64
 	done   bool
 	failed string
-	agent  string // the life of its agent
+	agent  string  // the life of its agent
+	down   float64 // until when its agent's word that it is down is taken
 	grant  float64
 }
 
@@ -65,6 +68,8 @@
 	figures   figures
 	lost      map[string]bool
 	samples   map[string]float64 // when each scheduler was asked last
+	refused   map[Member]bool    // of this record: members like these have no room
+	refusedNo uint64
 }
 
 // NewCarrier begins an ownership.
@@ -161,6 +166,9 @@
 	if r.Reached {
 		t.agent = r.Start
 	}
+	if t.down = 0; r.Reached && r.Down {
+		t.down = now + doEach*2
+	}
 }
 
 // NextSample decides which scheduler to ask for its figures, while a wave is watched.
@@ -230,7 +238,20 @@
 	case w.call != "" && !t.done:
 		return cmd, false
 	case w.till == "room":
-		if now < t.grant || c.rec.Grant(c.op, id) != "" {
+		// Thousands may wait, and a count goes over all: those that count alike are refused alike.
+		if c.refusedNo != c.rec.No || c.refused == nil {
+			c.refused, c.refusedNo = map[Member]bool{}, c.rec.No
+		}
+		_, out := c.rec.IsOut(id)
+		if c.op.Raises(m) && out && now < t.down {
+			return Command{To: Gone, Then: isDown, Renewed: s.No}, true
+		}
+		like := Member{Kind: m.Kind, Zone: m.Zone, Labels: m.Labels, Capacity: m.Capacity}
+		if now < t.grant || !out && c.refused[like] {
+			return cmd, false
+		}
+		if c.rec.Grant(c.op, id) != "" {
+			c.refused[like] = c.refused[like] || !out && c.rec.room(id) != ""
 			return cmd, false
 		}
 		t.grant = now + grantEach // refused all the same, it is asked for again, not at once
@@ -256,7 +277,9 @@
 	}
 	for _, id := range c.op.now() {
 		m, s, t := c.rec.Members[id], c.op.Steps[id], c.tries[id]
-		if w := c.op.stepOf(m, s); w == nil || w.to != Acting || t.agent != "" || t.busy || now < t.at {
+		_, out := c.rec.IsOut(id)
+		w := c.op.stepOf(m, s)
+		if w == nil || t.busy || now < t.at || !(w.to == Acting && t.agent == "" || s.At == Waits && out && c.op.Raises(m)) {
 			continue
 		}
 		t.busy, t.at = true, now+doEach
@@ -271,6 +294,9 @@
 		if t := c.tries[id]; t.failed != "" && !c.op.Arrived(c.op.Steps[id]) {
 			return t.failed
 		}
+		if s := c.op.Steps[id]; s.At == Acted && !s.Undo && c.rec.Members[id].Kind == "scheduler" && now > c.tries[id].since+backMost {
+			return fmt.Sprintf("%s was not seen in service for %g s after its new process was ready: %s", id, backMost/1000.0, c.rec.Health[id].State)
+		}
 	}
 	most := c.op.Gates.Lost
 	if most == 0 {
--- a/fleet/doer.go
+++ b/fleet/doer.go
@@ -105,3 +105,21 @@
 	}
 	return changed
 }
+
+// ShouldRun tells whether a scheduler is meant to run by the record, for an agent that starts: its own notes may be of an
+// older disk. Nobody has it out who holds no permit; one that was drained stays so.
+func (r *Record) ShouldRun(id string, noted bool) bool {
+	p, out := r.Permits[id]
+	if !out {
+		return true
+	}
+	if op := r.Ops[p.Op]; op != nil {
+		switch s := op.Steps[id]; s.At {
+		case Gone:
+			return op.Kind != "drain" && op.Kind != "maintain" || op.Back
+		case Acted, In:
+			return true
+		}
+	}
+	return noted
+}
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -145,7 +145,7 @@
 	for _, l := range r.limits(m) {
 		c := Count{Limit: l, Allowed: math.MaxInt}
 		total, gone := 0.0, 0.0
-		for _, o := range r.Of(m.Kind) {
+		for _, o := range r.Members { // in any order: what is out is sorted below
 			if !l.covers(m, o) || r.Bug == "zones-alone" && o.Zone != m.Zone {
 				continue
 			}
@@ -156,6 +156,7 @@
 				gone += o.Capacity
 			}
 		}
+		slices.Sort(c.Out)
 		if l.Most != nil {
 			c.Allowed = *l.Most
 		}
@@ -201,7 +202,7 @@
 func (r *Record) counted(id string) (zones []string) {
 	m := r.Members[id]
 	for _, l := range r.limits(m) {
-		for _, o := range r.Of(m.Kind) {
+		for _, o := range r.Members {
 			if l.covers(m, o) && !slices.Contains(zones, o.Zone) {
 				zones = append(zones, o.Zone)
 			}
--- a/fleet/minder.go
+++ b/fleet/minder.go
@@ -163,5 +163,10 @@
 	return "going", ""
 }
 
+// Down tells whether no process serves.
+func (m *Minder) Down() bool {
+	return !slices.ContainsFunc(m.procs, func(p *Proc) bool { return p.Ready && p.term == 0 && p.kill == 0 })
+}
+
 // Good sets which step's process was last known to be ready, as kept by a former life of the agent.
 func (m *Minder) Good(gen uint64) { m.good = gen }
--- a/fleet/ops.go
+++ b/fleet/ops.go
@@ -25,6 +25,8 @@
 	NotLooked = "not reached"
 )
 
+const isDown = "down" // by its own agent: no process of it serves
+
 const (
 	mostLimits  = 100
 	endedKept   = 50 // operations that are over
@@ -116,7 +118,7 @@
 	{"scheduler", "drain restart maintain release back", Waits, "", "room", Granted, "a permit"},
 	{"scheduler", "drain maintain", Granted, "stop", "", Gone, "its process has ended"},
 	{"scheduler", "restart release back", Granted, "run", "", Acted, "the new process took over"},
-	{"scheduler", "undrain back", Gone, "run", "", Acted, "its process is ready"},
+	{"scheduler", "undrain back restart", Gone, "run", "", Acted, "its process is ready"},
 	{"scheduler", "maintain", Gone, "run", "pause", Acted, "the pause is over, its process is ready"},
 	{"scheduler", "", Acted, "", "in", In, "seen in service"},
 	{"worker", "drain restart maintain release back", Waits, "", "room", Granted, "a permit, and all are told"},
@@ -150,6 +152,11 @@
 	return s.At == In || o.Kind == "drain" && !o.Back && s.At == Gone
 }
 
+// Raises tells whether an operation starts schedulers that are down, where their agents say so.
+func (o *Op) Raises(m Member) bool {
+	return m.Kind == "scheduler" && (o.Back || o.Kind == "restart")
+}
+
 // Open tells whether an operation still has something to do, or may yet go back.
 func (o *Op) Open() bool { return !o.Done && !o.Closed }
 
@@ -337,6 +344,14 @@
 		r.note(no, "undo", op.ID+" "+c.ID, c)
 		return "", no
 	}
+	// One that its own agent knows to be down takes no room to be started: else two that fell would keep each other out.
+	if _, out := r.IsOut(c.ID); c.Then == isDown && c.To == Gone && s.At == Waits && op.Raises(m) && out && r.Permits[c.ID].Op == "" {
+		r.Permits[c.ID] = Permit{op.ID, no}
+		s.At, s.No, s.Why = Gone, no, ""
+		op.Steps[c.ID] = s
+		r.note(no, isDown, op.ID+" "+c.ID, c)
+		return "", no
+	}
 	w := op.stepOf(m, s)
 	if w == nil || w.to != c.To {
 		return "no such step from " + s.At, s.No
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -403,6 +404,20 @@
 	return raw
 }
 
+// Clone is a copy that does not change with the record.
+func (r *Record) Clone() *Record {
+	n := *r
+	n.Voters, n.Members, n.Matters, n.Workers = maps.Clone(r.Voters), maps.Clone(r.Members), maps.Clone(r.Matters), maps.Clone(r.Workers)
+	n.Health, n.Permits, n.Halts, n.Sessions = maps.Clone(r.Health), maps.Clone(r.Permits), maps.Clone(r.Halts), maps.Clone(r.Sessions)
+	n.Rows, n.Ops = slices.Clone(r.Rows), make(map[string]*Op, len(r.Ops))
+	for id, o := range r.Ops {
+		c := *o
+		c.Steps = maps.Clone(o.Steps)
+		n.Ops[id] = &c
+	}
+	return &n
+}
+
 // Restore reads a snapshot. Where that fails the record is as it was.
 func (r *Record) Restore(raw []byte) error {
 	n := NewRecord()
--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -209,7 +209,7 @@
 	var failed error
 	got, err := live.Play(d.ctx, p, opt.Seed, live.Options{Program: opt.Program, Env: []string{"SHALEBEAM_BUG=" + opt.Bug}, Dir: filepath.Join(d.dir, "schedulers"),
 		Agent: func(no int) string { return d.agents[no%len(d.agents)].file.Listen },
-		Mark:  d.mark(), Logs: d.dir, Begin: d.begin,
+		Mark:  d.mark(), Logs: d.dir, Begin: d.begin, Told: d.told,
 		Fleet: func(f *live.Fleet) func() {
 			d.live = f
 			done := make(chan struct{})
--- a/lab/cluster/ops.go
+++ b/lab/cluster/ops.go
@@ -1,9 +1,14 @@
 package cluster
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -183,3 +188,90 @@
 	}
 	return r.Ops[id]
 }
+
+// released makes a program of its own digest, with a bug or none.
+func (d *day) released(bug string) fleet.Version {
+	raw, err := os.ReadFile(d.opt.Program)
+	if err != nil {
+		d.broke("%v", err)
+		return fleet.Version{}
+	}
+	raw = append(raw, "\nBUG="+bug+"\n"...)
+	path := filepath.Join(d.dir, "program-"+bug)
+	if err := os.WriteFile(path, raw, 0o700); err != nil {
+		d.broke("%v", err)
+	}
+	sum := sha256.Sum256(raw)
+	return fleet.Version{Program: path, Digest: hex.EncodeToString(sum[:])}
+}
+
+// programs is how many programs run, by their digests, -1 where an agent does not say.
+func (d *day) programs() int {
+	all := map[string]bool{}
+	for i := range d.agents {
+		var s agent.Status
+		if (&agent.Caller{HTTP: d.http, Addrs: []string{d.agents[i].file.Listen}}).Get(d.ctx, "/v1/status", &s) != nil {
+			return -1
+		}
+		for _, x := range s.Runs {
+			all[x.Program] = true
+			if x.State != "done" {
+				return -1
+			}
+		}
+	}
+	return len(all)
+}
+
+// OwnerOf is the number of the agent that owns a matter, -1 for none.
+func (d *day) OwnerOf(matter string) int {
+	r, err := d.read(d.ctx)
+	if err != nil {
+		return -1
+	}
+	return slices.IndexFunc(d.agents, func(p *proc) bool { return p.file.Name == fleet.AgentOf(r.Matters[matter].Owner) })
+}
+
+// HaltAt tells one agent to halt, and whether it said yes.
+func (d *day) HaltAt(no int, of string) bool {
+	raw, _ := json.Marshal(fleet.Halt{Of: of, By: "ann", Why: "a look"})
+	p, err := d.http.Post("http://"+d.agents[no].file.Listen+"/v1/halt", "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return false
+	}
+	p.Body.Close()
+	return p.StatusCode == 200
+}
+
+// step is one that an agent has begun, by its log.
+type begunStep struct {
+	at     time.Time
+	agent  string
+	member string
+	step   string
+}
+
+var begunIt = regexp.MustCompile(`^time=(\S+) .*msg=begun op=(\S+) member=(\S+) call=(\S+) step=(\d+) takes=(\w+) state=going`)
+
+// begun lists what agents have begun at a member ("" for all), of those steps alone that take one out.
+func (d *day) steps(member string, takes bool) (all []begunStep) {
+	for _, p := range d.agents {
+		lines(p.path(".log"), func(line string) {
+			if x := begunIt.FindStringSubmatch(line); x != nil && (member == "" || x[3] == member) && (x[6] == "true" || !takes) {
+				at, _ := time.Parse(time.RFC3339Nano, x[1])
+				all = append(all, begunStep{at, p.file.Name, x[3], x[5]})
+			}
+		})
+	}
+	return all
+}
+
+// told tells whether an agent told a process to end, by its log.
+func (d *day) told(pid int) (yes bool) {
+	for _, p := range d.agents {
+		lines(p.path(".log"), func(line string) {
+			yes = yes || strings.Contains(line, `msg="process told to end"`) && strings.Contains(line, fmt.Sprintf(" pid=%d ", pid))
+		})
+	}
+	return yes
+}
--- a/lab/council/council.go
+++ b/lab/council/council.go
@@ -14,6 +14,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"shalebeam/fleet"
 	"shalebeam/quorum"
@@ -27,6 +28,8 @@
 	Schedulers int
 	For        float64 // ms that faults come; as long again is then played without
 	Bug        string
+	Ops        bool // agents run the schedulers, and one operation is carried
+	Workers    int  // of it
 }
 
 // Result is what came of a run.
@@ -95,12 +98,15 @@
 }
 
 type charge struct {
-	hold   *fleet.Hold
-	teller *fleet.Teller
-	zone   string
-	calls  int
+	hold    *fleet.Hold
+	teller  *fleet.Teller
+	carrier *fleet.Carrier
+	zone    string
+	calls   int
 }
 
+func (c *charge) passed() bool { return c.teller != nil && c.teller.Passed > 0 }
+
 type target struct {
 	fleet.Member
 	start int
@@ -130,7 +136,10 @@
 	victim  int
 	spoilt  bool
 	starts  uint64
-	term    float64 // of claims: shorter than it takes to choose a leader, or longer
+	heard   *fleet.Record
+	heardOf *fleet.Record
+	ops     *machines // nil: none of it
+	term    float64   // of claims: shorter than it takes to choose a leader, or longer
 }
 
 const step = 50.0
@@ -165,6 +174,10 @@
 		w.targets = append(w.targets, &target{Member: fleet.Member{ID: fmt.Sprint("s", i), Kind: "scheduler",
 			Zone: []string{"a", "b"}[i%2], Addr: fmt.Sprint("s", i)}, high: map[string]uint64{}, out: map[string]string{}, last: map[string]uint64{}})
 	}
+	if o.Ops {
+		w.ops = newMachines(w)
+		w.ops.init()
+	}
 	w.victim = w.r.IntN(o.Voters)
 	w.members()
 	w.later(0, w.tick)
@@ -172,7 +185,7 @@
 	w.later(3000, w.client)
 	for len(w.queue) > 0 && len(w.got.Breaks) == 0 {
 		e := heap.Pop(&w.queue).(event)
-		if w.now = e.at; w.now > 3000+2*o.For+30000 {
+		if w.now = e.at; w.now > w.most() || w.ops != nil && w.ops.ended > 0 && w.now > w.ops.ended+5000 {
 			break
 		}
 		if !w.healed && w.now > 3000+o.For {
@@ -185,6 +198,15 @@
 	return &w.got
 }
 
+// most is how long a run may go on after its faults.
+func (w *world) most() float64 {
+	most := 3000 + 2*w.o.For + 30000
+	if w.ops != nil { // one after the other, there and back, at worst
+		most += 6000 * float64(min(len(w.targets), 40)+len(w.ops.workers))
+	}
+	return most
+}
+
 func (w *world) clock() clock {
 	return clock{0.9 + 0.2*w.r.Float64(), 1e6 * w.r.Float64()}
 }
@@ -216,6 +238,9 @@
 	a.up, a.rec, a.has, a.busy = true, fleet.NewRecord(), map[string]*charge{}, map[string]bool{}
 	a.duty = fleet.NewDuty(a.id, fmt.Sprint(a.start), w.term)
 	a.duty.Hurry = w.o.Bug == "new-leader-hurries"
+	if w.ops != nil && len(w.ops.all) > 0 {
+		w.ops.start(a)
+	}
 }
 
 // members puts all on record, from the lab's own hand.
@@ -227,6 +252,12 @@
 	for _, t := range w.targets {
 		all = append(all, t.Member)
 	}
+	if w.ops != nil {
+		for _, id := range slices.Sorted(maps.Keys(w.ops.workers)) {
+			x := w.ops.workers[id]
+			all = append(all, fleet.Member{ID: id, Kind: "worker", Zone: x.zone, Addr: "worker/" + id, Agent: x.a.id, Capacity: 1})
+		}
+	}
 	for _, m := range all {
 		w.ask("lab", fleet.Command{Caller: "lab" + m.ID, Number: 1, Do: "member", Member: &m}, 1e9, func(fleet.Answer) {})
 	}
@@ -300,23 +331,38 @@
 		}
 	}
 	lead := w.leader()
+	if w.ops != nil {
+		if w.ops.tick(); w.healed && lead != nil && w.ops.ended == 0 {
+			w.ops.settle(lead.node.Record)
+		}
+	}
 	for i, a := range w.owners {
 		if !a.up || a.still > w.now {
 			continue
 		}
 		// A tenth of them asks at each tick, those that own something always.
-		if len(a.has) == 0 && i%10 != int(w.now/step)%10 {
+		if len(a.has) == 0 && w.ops == nil && i%10 != int(w.now/step)%10 {
 			continue
 		}
-		if lead != nil && !w.cut[a.id] && lead.still <= w.now {
-			a.rec = lead.node.Record
+		if lead != nil && !w.cut[a.id] && lead.still <= w.now && a.rec.No != lead.node.Record.No {
+			a.rec = w.copy(lead.node.Record) // one that is cut off goes on with what it heard last
+		}
+		if w.duties(a); w.ops != nil {
+			w.ops.agent(a)
 		}
-		w.duties(a)
 	}
 	w.judge()
 	w.later(step, w.tick)
 }
 
+// copy is the record as it is now, one copy for all who hear it.
+func (w *world) copy(r *fleet.Record) *fleet.Record {
+	if w.heard == nil || w.heardOf != r || w.heard.No != r.No {
+		w.heard, w.heardOf = r.Clone(), r
+	}
+	return w.heard
+}
+
 func (w *world) leader() *voter {
 	for _, v := range w.voters {
 		if _, leads := v.node.Leader(); leads && v.node.Err() == nil && v.still <= w.now {
@@ -365,7 +411,7 @@
 	now := a.clock.at(w.now)
 	for _, name := range slices.Sorted(maps.Keys(a.has)) {
 		c := a.has[name]
-		if !c.hold.Holds(now) || c.teller.Passed > 0 || a.rec.Matters[name].Fence > c.hold.Fence {
+		if !c.hold.Holds(now) || c.passed() || a.rec.Matters[name].Fence > c.hold.Fence {
 			w.note("lost %s %s", a.id, name)
 			delete(a.has, name)
 			continue
@@ -377,11 +423,32 @@
 			}
 			continue
 		}
+		if c.carrier != nil {
+			if c.carrier.Follow(now, a.rec); c.carrier.Over() && a.rec.Matters[name].Owner == a.duty.Owner {
+				if !a.busy[name] {
+					delete(a.has, name)
+					w.send(a, name, fleet.Command{Do: "leave", Matter: name, Owner: a.duty.Owner, Fence: c.hold.Fence}, nil)
+				}
+				continue
+			}
+		} else {
+			c.teller.Follow(now, a.rec, c.zone)
+		}
 		if !a.busy[name] && c.hold.NextRenewal(now) {
-			w.send(a, name, fleet.Command{Do: "renew", Matter: name, Owner: a.duty.Owner, Fence: c.hold.Fence},
+			renewal := fleet.Command{Do: "renew", Matter: name, Owner: a.duty.Owner, Fence: c.hold.Fence}
+			if c.teller != nil {
+				var whole bool
+				if renewal.Seen, whole = c.teller.Report(now); whole {
+					renewal.To = fleet.Whole
+				}
+			}
+			w.send(a, name, renewal,
 				func(got fleet.Answer) { c.hold.Renewed(got.Done) })
 		}
-		c.teller.Follow(now, a.rec, c.zone)
+		if c.carrier != nil {
+			w.ops.carries(a, now, name, c)
+			continue
+		}
 		for call, ok := c.teller.Next(now); ok; call, ok = c.teller.Next(now) {
 			w.call(a, c, call)
 		}
@@ -401,9 +468,17 @@
 						w.broke("%s claimed %s, and %s still held it", a.id, c.Matter, o.id)
 					}
 				}
-				a.has[c.Matter] = &charge{hold: h, teller: fleet.NewTeller(c.Matter, got.Fence),
-					zone: c.Matter[len("zone/"):]}
-				a.has[c.Matter].teller.Bug = w.o.Bug
+				own := &charge{hold: h}
+				if id, isOp := strings.CutPrefix(c.Matter, "op/"); isOp {
+					own.carrier = fleet.NewCarrier(id, a.duty.Owner, got.Fence)
+					own.carrier.Bug = w.o.Bug
+				} else {
+					own.teller, own.zone = fleet.NewTeller(c.Matter, got.Fence), c.Matter[len("zone/"):]
+					if own.teller.Bug = w.o.Bug; w.ops != nil {
+						own.teller.Holds = func(i fleet.Intent) bool { return w.ops.doers[a.id].Holds(a.rec, i) }
+					}
+				}
+				a.has[c.Matter] = own
 			}
 		})
 	}
@@ -474,6 +549,9 @@
 				continue
 			}
 			r := w.taken(t, call)
+			if w.ops != nil && !w.ops.look(t, strings.TrimPrefix(call.Matter, "zone/"), &r) {
+				continue
+			}
 			if ms, ok := w.link(t.ID, a.id); ok {
 				w.later(ms, func() { answer(r) })
 			}
@@ -487,7 +565,7 @@
 	r := fleet.Reply{Reached: true, Start: start, Fence: t.high[c.Matter]}
 	switch {
 	case c.Act == fleet.Look:
-		r.Done = true
+		r.Done, r.Phase = true, "serving"
 		for id, m := range t.out {
 			if m == c.Matter {
 				r.Out = append(r.Out, id)
@@ -555,7 +633,11 @@
 			a = o
 		}
 	}
-	switch w.r.IntN(9) {
+	kinds := 9
+	if w.ops != nil {
+		kinds = 10
+	}
+	switch w.r.IntN(kinds) {
 	case 0:
 		name := fmt.Sprint("v", v.id)
 		w.cut[name] = true
@@ -577,6 +659,10 @@
 		w.later(span, func() { w.loss = 0 })
 	case 7:
 		t := w.targets[w.r.IntN(len(w.targets))]
+		if w.ops != nil {
+			m := w.ops.by[t.ID]
+			m.procs, m.fell = [2]*simProc{}, true
+		}
 		t.start, t.high, t.out, t.last = t.start+1, map[string]uint64{}, map[string]string{}, map[string]uint64{}
 		// It asks its agent first, which reads for sure; where nobody can be read it goes on without.
 		if lead := w.leader(); lead != nil && w.r.IntN(4) > 0 {
@@ -589,6 +675,14 @@
 				}
 			}
 		}
+	case 9:
+		if w.ops != nil {
+			w.ops.lies[a.id] = true // what it begins from now on is not kept
+			w.later(span, func() {
+				a.up = false
+				w.later(200, func() { w.begin(a) })
+			})
+		}
 	case 8:
 		// Of one voter's disk at a time: of two that lie at once nothing can be promised.
 		if x := w.voters[w.victim]; !w.spoilt && !x.node.Behind() {
@@ -674,7 +768,7 @@
 			continue
 		}
 		for name, c := range a.has {
-			if c.hold.Holds(a.clock.at(w.now)) && c.teller.Passed == 0 {
+			if c.hold.Holds(a.clock.at(w.now)) && !c.passed() {
 				if other := holds[name]; other != "" {
 					w.broke("%s and %s both own %s", other, a.id, name)
 				}
@@ -719,6 +813,9 @@
 	if r.Retries > 0 {
 		w.note("retries %d", r.Retries)
 	}
+	if w.ops != nil {
+		w.ops.end(r)
+	}
 	want := r.OutIn("")
 	for _, t := range w.targets {
 		if got := slices.Sorted(maps.Keys(t.out)); !slices.Equal(got, want) {
--- a/lab/live/minded.go
+++ b/lab/live/minded.go
@@ -95,8 +95,10 @@
 func (n *node) processes(pids []int) {
 	n.mu.Lock()
 	was := len(n.pids)
-	n.pids = pids
-	killed := n.killed || !n.drained()
+	if n.pids = pids; len(pids) > 0 {
+		n.last = pids
+	}
+	killed := n.killed || len(pids) == 0 && was > 0 && !n.drained()
 	switch {
 	case was == 0 && len(pids) > 0:
 		n.lives.Add(1)
@@ -110,11 +112,9 @@
 	n.mu.Unlock()
 }
 
-// drained tells whether the last process of a scheduler said that it was told to stop.
+// drained tells whether the last processes of a scheduler were told to stop.
 func (n *node) drained() bool {
-	raw, _ := os.ReadFile(n.log())
-	text := string(raw)
-	return strings.LastIndex(text, "to=draining") > strings.LastIndex(text, "msg=listening ")
+	return len(n.last) > 0 && !slices.ContainsFunc(n.last, func(pid int) bool { return !n.w.opt.Told(pid) })
 }
 
 func (n *node) log() string {
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -83,7 +83,7 @@
 	client         *http.Client
 	// Of one that others run: see minded.go.
 	beside       string
-	pids         []int
+	pids, last   []int // now, and when there last were some
 	serves, fell bool
 	looks        []bool
 }
--- a/lab/live/world.go
+++ b/lab/live/world.go
@@ -58,6 +58,7 @@
 	// Logs holds a folder for each of those others with its schedulers' logs; Begin has them begin, once all is prepared.
 	Mark, Logs string
 	Begin      func(f *Fleet) error
+	Told       func(pid int) bool // whether those others told a process to end
 }
 
 // Fleet is a running day, for those who act on it from outside the plan.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -95,7 +95,7 @@
 	// Workers are those that the list has running, of the zone that was asked for: "warm", "cold", or "busy" for one that is
 	// out while postings of this scheduler still run there.
 	Workers map[string]string `json:"workers,omitempty"`
-	Stale  bool              `json:"stale,omitempty"`
+	Stale   bool              `json:"stale,omitempty"`
 }
 
 // finals counts the answers of this process, by what came of the txn.
