A new voter that lost its folder is found out; what can't go back is named, so that it ends

Now it asks the others by its file, as every voter that starts does.

Members that stay out after an operation that is over are brought back by undrain.

--- a/fleet/carrier.go
+++ b/fleet/carrier.go
@@ -64,6 +64,7 @@
 	tries     map[string]*try
 	wave      int
 	waveAt    float64
+	movedAt   float64 // when a member last moved on
 	watchAt   float64 // 0: not watching
 	figures   figures
 	lost      map[string]bool
@@ -87,6 +88,7 @@
 	for id, s := range c.op.Steps {
 		if t := c.tries[id]; t == nil || t.no != s.No {
 			c.tries[id] = &try{no: s.No, since: now}
+			c.movedAt = now
 		}
 	}
 	if wave := c.op.Wave; wave != c.wave || c.halted() != "" || c.op.Back {
@@ -211,6 +213,16 @@
 			return cmd, true
 		}
 	}
+	for _, id := range c.op.now() {
+		s, t := c.op.Steps[id], c.tries[id]
+		// What can't go back may keep others from it for ever, as by the room that it takes: they are named too, and it ends.
+		if c.op.Back && !c.op.Arrived(s) && s.Why == "" && now > max(t.since, c.movedAt)+2*backMost && c.rec.Halted(c.op, c.rec.Members[id].Zone) == "" {
+			cmd := mine
+			cmd.Do, cmd.ID, cmd.Renewed = "step", id, s.No
+			cmd.Why = brief(fmt.Sprintf("can't go back: %s for long, seen %s; %s", s.At, c.rec.Health[id].State, c.rec.Grant(c.op, id)))
+			return cmd, true
+		}
+	}
 	if !c.arrived() || c.watchAt > 0 && now < c.watchAt+c.op.Watch || c.halted() != "" && !c.op.Back {
 		return Command{}, false
 	}
@@ -231,6 +243,11 @@
 	cmd := Command{To: w.to, Renewed: s.No}
 	seen := c.rec.Health[id]
 	switch {
+	case c.op.Back && s.At == Waits && c.rec.Permits[id].Op != "" && c.rec.Permits[id].Op != c.ID:
+		if s.Why != "" {
+			return cmd, false
+		}
+		return Command{Renewed: s.No, Why: "can't go back: it is out for " + c.rec.Permits[id].Op}, true
 	case c.op.Back && t.failed != "" && s.Why == "":
 		return Command{Renewed: s.No, Why: brief("can't go back: " + t.failed)}, true
 	case s.At == Granted && !s.Undo && !c.op.Back && c.rec.Halted(c.op, m.Zone) != "" && !t.done:
--- a/fleet/ops.go
+++ b/fleet/ops.go
@@ -239,14 +239,15 @@
 				return id + ": no agent runs it, or a command for it", 0
 			}
 			for _, other := range r.Ops {
-				if s, in := other.Steps[id]; in && other.Open() && !other.Arrived(s) {
+				if _, in := other.Steps[id]; in && other.Open() { // also where it has arrived: that one may yet go back
 					return fmt.Sprintf("%s is in %s, which is not over", id, other.ID), 0
 				}
 			}
 			op.Steps[id] = Step{At: Waits, No: no}
 			if o.Kind == "undrain" {
-				if p, ok := r.Permits[id]; !ok || r.Ops[p.Op].Kind != "drain" {
-					return id + " is not drained", 0
+				// Of a drain, or of what ended without it: a person says that it is well.
+				if p, ok := r.Permits[id]; !ok || r.Ops[p.Op] != nil && r.Ops[p.Op].Open() {
+					return id + " is not out, or its operation is not over", 0
 				}
 				op.Steps[id] = Step{At: Gone, No: no}
 				continue
--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -85,6 +85,7 @@
 	// holding: of calls that lie in their connections there is one at a time, else they undo each other's workers.
 	holding atomic.Bool
 	limits  []fleet.Limit
+	pauses  []pause
 	turn    int
 	calm    atomic.Bool // callers wait
 }
@@ -187,6 +188,9 @@
 		return nil, err
 	}
 	length := opt.For
+	if opt.Runs && opt.Act == nil {
+		length += 15 * time.Second // load goes on while all is brought back
+	}
 	if opt.Hold {
 		length = time.Hour
 	}
@@ -368,6 +372,9 @@
 		for i := range 5 {
 			callers.Go(func() { d.caller(ctx, i) })
 		}
+		if d.opt.Runs {
+			callers.Go(func() { d.operators(ctx) })
+		}
 		d.faults()
 	}
 	stop()
@@ -382,6 +389,9 @@
 		d.broke("%v", err)
 		return nil
 	}
+	if d.opt.Runs && d.opt.Act == nil {
+		d.settle()
+	}
 	// Owners may have to wait for a term, and a new leader for another; then all know within ten seconds.
 	if err := d.await(3*d.term()+10*time.Second, "every scheduler knows who is out", d.allKnow); err != nil {
 		d.broke("%v", err)
--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -139,6 +139,9 @@
 			}
 		}
 	}
+	if d.opt.Runs {
+		d.kept()
+	}
 	d.order()
 	d.owners(r)
 	d.voters()
--- a/lab/council/ops.go
+++ b/lab/council/ops.go
@@ -37,6 +37,7 @@
 	lifted  bool
 	turned  bool
 	ended   float64
+	raised  float64
 	said    bool
 	drained bool
 	Calls   int // at agents
@@ -642,7 +643,26 @@
 			o.op = fmt.Sprintf("undrain-%d", a.No)
 		})
 	case op.Done && op.Kind != "drain" && o.ended == 0:
-		o.ended = w.now
+		// What ended without some of its members, a person brings back.
+		var out []string
+		for _, id := range slices.Sorted(maps.Keys(r.Permits)) {
+			out = append(out, id)
+		}
+		if len(out) == 0 {
+			o.ended = w.now
+			return
+		}
+		if w.now < o.raised+3000 {
+			return
+		}
+		o.raised = w.now
+		w.turn++
+		w.ask("client", fleet.Command{Caller: fmt.Sprint("undrain", w.turn), Number: 1, Do: "begin", By: "ann",
+			Op: &fleet.Op{Kind: "undrain", Waves: [][]string{out}}}, 2000, func(a fleet.Answer) {
+			if a.Done {
+				o.op = fmt.Sprintf("undrain-%d", a.No)
+			}
+		})
 	}
 }
 
@@ -659,6 +679,12 @@
 					if m := o.by[id]; m != nil {
 						state, why = m.minder.State()
 					}
+					for _, c := range r.Room(id) {
+						for _, other := range c.Out {
+							why, _ := r.IsOut(other)
+							text += other + " " + why + ", "
+						}
+					}
 					text += fmt.Sprintf("; [%s] ", r.Grant(op, id))
 					text += fmt.Sprintf("; %s at %s since %d undo %t (%s) seen %+v minder %s %s note %+v", id, s.At, s.No, s.Undo, s.Why, r.Health[id],
 						state, why, o.doers[r.Members[id].Agent].Notes[id])
--- a/lab/live/node.go
+++ b/lab/live/node.go
@@ -85,6 +85,7 @@
 	beside       string
 	pids, last   []int // now, and when there last were some
 	serves, fell bool
+	will         bool // it was told to end, and does not serve since
 	looks        []bool
 }
 
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -223,7 +223,11 @@
 	if n.newer != nil {
 		return slices.Sorted(maps.Keys(n.newer))
 	}
-	return n.voters()
+	if all := n.voters(); len(all) > 0 || !n.o.Join {
+		return all
+	}
+	// A new one knows nobody but by its file. It asks like any: its number is new, but its folder may have been lost since.
+	return slices.Sorted(maps.Keys(n.o.Voters))
 }
 
 // Addrs is where voters are reached.
@@ -283,9 +287,6 @@
 			}
 		}
 	}
-	if n.o.Join && len(n.voters()) == 0 {
-		return n.begin(0) // it has acknowledged nothing under its number, which is new
-	}
 	return nil
 }
 
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -419,3 +419,30 @@
 		t.Errorf("marks are judged wrongly: %+v", sees)
 	}
 }
+
+// A voter that was put in another's place, took part, and then lost its folder is not new any more: others have seen it
+// keep something.
+func TestNewVoterThatLostItsFolder(t *testing.T) {
+	s := newSet(t, 3, 6)
+	s.change("ann", 1, "out", "w1")
+	old := s.leader().o.ID%3 + 1
+	s.kill(old)
+	delete(s.first, old)
+	s.first[4], s.disks[4] = "v4", NewMemory()
+	s.start(4, true)
+	s.until("the new one is in", func() bool {
+		if l := s.leader(); l != nil && l.Record.Voters[4] == "" {
+			_ = l.ProposeVoters(4, "v4", old)
+		}
+		return s.nodes[4].counts && s.nodes[4].Record.Workers["w1"].Out
+	})
+	s.change("bob", 1, "out", "w2")
+	s.until("it has that too", func() bool { return s.nodes[4].Record.Workers["w2"].Out })
+	s.kill(4)
+	s.disks[4] = NewMemory()
+	s.start(4, true)
+	s.until("it is found out", func() bool { return errors.Is(s.errs[4], ErrBehind) })
+	if s.nodes[4].counts {
+		t.Error("it counts")
+	}
+}
