--- a/agent/agent.go
+++ b/agent/agent.go
@@ -168,6 +168,7 @@
 			}
 			if len(n.Record) > 0 {
 				fresh := fleet.NewRecord()
+				fresh.Bug = a.bug
 				if err := fresh.Restore(n.Record); err != nil {
 					a.log.Error("record not read", "err", err)
 				} else if fresh.No >= a.rec.No {
--- a/cmd/beamctl/main.go
+++ b/cmd/beamctl/main.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/pelletier/go-toml/v2"
 
 	"shalebeam/agent"
 	"shalebeam/fleet"
@@ -445,15 +446,37 @@
 }
 
 type check struct {
-	Path string `arg:"" help:"An agent's configuration."`
+	Path string `arg:"" help:"An agent's configuration, limits, or an operation's file."`
 }
 
+// Run takes a file for what its keys say it is.
 func (c *check) Run() error {
+	raw, err := os.ReadFile(c.Path)
+	if err != nil {
+		return exit{none, err.Error()}
+	}
+	var keys map[string]any
+	_ = toml.Unmarshal(raw, &keys) // what is wrong with it is said below
+	switch {
+	case keys["limit"] != nil:
+		all, err := readLimits(c.Path)
+		if err == nil {
+			fmt.Printf("%s: ok, limits=%d\n", c.Path, len(all))
+		}
+		return err
+	case keys["members"] != nil || keys["select"] != nil || keys["kind"] != nil:
+		f := &opFile{}
+		if err := f.check(c.Path); err != nil {
+			return err
+		}
+		fmt.Printf("%s: ok, kind=%s\n", c.Path, f.Kind)
+		return nil
+	}
 	f, err := agent.Load(c.Path)
 	if err != nil {
 		return exit{none, err.Error()}
 	}
-	fmt.Printf("%s: ok, name=%s voters=%d schedulers=%d\n", c.Path, f.Name, len(f.Voter), len(f.Scheduler))
+	fmt.Printf("%s: ok, name=%s voters=%d schedulers=%d workers=%d\n", c.Path, f.Name, len(f.Voter), len(f.Scheduler), len(f.Worker))
 	return nil
 }
 
@@ -497,7 +520,7 @@
 			Set  limitsSet  `cmd:"" help:"Put others in their place."`
 		} `cmd:"" help:"How many may be out together."`
 		Why   whyCmd `cmd:"" help:"Why a member may not go out now."`
-		Check check  `cmd:"" help:"Check an agent's configuration."`
+		Check check  `cmd:"" help:"Check a file: an agent's configuration, limits, an operation."`
 	}
 	k := kong.Parse(&cli, kong.Name("beamctl"), kong.Description("The fleet's command line."))
 	ctx, stop := context.WithTimeout(context.Background(), cli.Timeout)
--- a/cmd/beamctl/ops.go
+++ b/cmd/beamctl/ops.go
@@ -66,19 +66,15 @@
 	return nil
 }
 
-// read makes an operation of a file.
-func (f *opFile) read(path string, r *fleet.Record) (*fleet.Op, error) {
+// check reads an operation's file, and tells what is wrong with it.
+func (f *opFile) check(path string) error {
 	if err := strict(path, f); err != nil {
-		return nil, err
-	}
-	no := func(format string, args ...any) (*fleet.Op, error) {
-		return nil, exit{none, path + ": " + fmt.Sprintf(format, args...)}
+		return err
 	}
+	no := func(format string, args ...any) error { return exit{none, path + ": " + fmt.Sprintf(format, args...)} }
 	if f.Kind == "" {
 		f.Kind = "release"
 	}
-	op := &fleet.Op{Kind: f.Kind, Gates: f.Gates, Together: f.Together, AutoBack: f.AutoBack, Watch: ms(f.Watch), Pause: ms(f.Pause),
-		WaveMost: ms(f.WaveMost), Version: fleet.Version{Program: f.Program, Digest: f.Digest, Config: f.Config, Name: f.Version}}
 	released := f.Program + f.Config + f.Version
 	switch {
 	case !slices.Contains([]string{"drain", "undrain", "restart", "maintain", "release"}, f.Kind):
@@ -97,6 +93,19 @@
 		f.Gates.Reversed > 1 || f.Gates.Txns < 0 || f.Gates.Lost < 0:
 		return no("together and gates are not below 0, and shares not over 1")
 	}
+	return nil
+}
+
+// read makes an operation of a file.
+func (f *opFile) read(path string, r *fleet.Record) (*fleet.Op, error) {
+	if err := f.check(path); err != nil {
+		return nil, err
+	}
+	no := func(format string, args ...any) (*fleet.Op, error) {
+		return nil, exit{none, path + ": " + fmt.Sprintf(format, args...)}
+	}
+	op := &fleet.Op{Kind: f.Kind, Gates: f.Gates, Together: f.Together, AutoBack: f.AutoBack, Watch: ms(f.Watch), Pause: ms(f.Pause),
+		WaveMost: ms(f.WaveMost), Version: fleet.Version{Program: f.Program, Digest: f.Digest, Config: f.Config, Name: f.Version}}
 	if f.Program != "" && f.Digest == "" {
 		raw, err := os.ReadFile(f.Program)
 		if err != nil {
@@ -517,17 +526,25 @@
 	Why  string `help:"For the audit."`
 }
 
-func (c *limitsSet) Run(g *global, ctx context.Context) error {
+func readLimits(path string) ([]fleet.Limit, error) {
 	var f struct {
 		Limit []fleet.Limit `toml:"limit"`
 	}
-	if err := strict(c.Path, &f); err != nil {
-		return err
+	if err := strict(path, &f); err != nil {
+		return nil, err
 	}
 	if why := fleet.CheckLimits(f.Limit); why != "" {
-		return exit{none, c.Path + ": " + why}
+		return nil, exit{none, path + ": " + why}
+	}
+	return f.Limit, nil
+}
+
+func (c *limitsSet) Run(g *global, ctx context.Context) error {
+	all, err := readLimits(c.Path)
+	if err != nil {
+		return err
 	}
-	return g.plain(ctx, fleet.Command{Do: "limits", Limits: f.Limit, Why: c.Why})
+	return g.plain(ctx, fleet.Command{Do: "limits", Limits: all, Why: c.Why})
 }
 
 type whyCmd struct {
--- a/fleet/doer.go
+++ b/fleet/doer.go
@@ -29,6 +29,7 @@
 func (d *Doer) Known(do Do) (Did, bool) {
 	n := d.Notes[do.Member]
 	switch {
+	case d.Bug == "step-twice" && n.State == "done" && do.No == n.No:
 	case do.No == n.No && n.No > 0:
 		return Did{Reached: true, State: n.State, Why: n.Why, Start: d.Start}, true
 	case do.No < n.No:
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -146,11 +146,14 @@
 		c := Count{Limit: l, Allowed: math.MaxInt}
 		total, gone := 0.0, 0.0
 		for _, o := range r.Members { // in any order: what is out is sorted below
-			if !l.covers(m, o) || r.Bug == "zones-alone" && o.Zone != m.Zone {
+			if !l.covers(m, o) {
 				continue
 			}
 			c.Of++
 			total += o.Capacity
+			if r.Bug == "zones-alone" && o.Zone != m.Zone {
+				continue
+			}
 			if _, out := r.IsOut(o.ID); out || o.ID == id {
 				c.Out = append(c.Out, o.ID)
 				gone += o.Capacity
--- a/fleet/ops.go
+++ b/fleet/ops.go
@@ -321,7 +321,7 @@
 		return why, 0
 	}
 	s, in := op.Steps[c.ID]
-	if !in || s.No != c.Renewed && r.Bug != "step-twice" {
+	if !in || s.No != c.Renewed {
 		return "it has moved since", s.No
 	}
 	m := r.Members[c.ID]
@@ -369,7 +369,7 @@
 			return "not all have said yes", s.No
 		}
 	case "in":
-		if (h.State != InService || h.Of < s.No) && r.Bug != "permit-early" {
+		if h.State != InService || h.Of < s.No {
 			return "it was not seen in service since", s.No
 		}
 		delete(r.Permits, c.ID)
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -288,6 +288,9 @@
 	case !known && len(r.Matters) >= mostMatters:
 		return "the record holds no more matters", 0
 	}
+	if r.Bug == "permit-dies" {
+		maps.DeleteFunc(r.Permits, func(_ string, p Permit) bool { return OpOf(p.Op) == c.Matter && known })
+	}
 	m.Owner, m.Fence, m.Term, m.Renewed = c.Owner, m.Fence+1, c.Term, no
 	if m.Wanted == AgentOf(c.Owner) {
 		m.Wanted = ""
--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -1024,7 +1024,8 @@
 
 // Bugs are those that can be planted, in a build with the tag faults.
 var Bugs = []string{"no-fence", "not-closed", "wall-clock", "new-leader-hurries", "yes-before-sync", "stale-read", "retry-twice",
-	"old-disk-votes", "torn-whole", "restart-untold", "former-start", "no-change"}
+	"old-disk-votes", "torn-whole", "restart-untold", "former-start", "no-change",
+	"permit-dies", "zones-alone", "cold-in", "halt-at-owner", "back-unlimited", "step-twice", "gate-yesterday", "two-permits", "unreached-in", "stale-step"}
 
 // Owner is the number of the agent that owns a zone's matter, by the record, and the matter's own number; -1 for none.
 func (d *day) Owner(zone string) (no int, fence uint64) {
--- a/lab/council/ops.go
+++ b/lab/council/ops.go
@@ -60,8 +60,8 @@
 	a      *owner
 	minder *fleet.Minder
 	procs  [2]*simProc
-	fell   bool // through a fault, till it serves again
-	killed bool
+	fell   bool    // through a fault, till it serves again
+	served float64 // when it last served
 }
 
 type simProc struct {
@@ -93,7 +93,7 @@
 func (o *machines) init() {
 	w := o.w
 	for i, t := range w.targets {
-		m := &machine{t: t, a: w.owners[i%len(w.owners)]}
+		m := &machine{t: t, a: w.owners[i%len(w.owners)], served: 3000}
 		m.procs[0] = &simProc{}
 		t.Agent = m.a.id
 		o.all, o.by[t.ID] = append(o.all, m), m
@@ -258,7 +258,7 @@
 		}
 		serves := m.serves(now)
 		if serves {
-			m.fell = false
+			m.fell, m.served = false, now
 		}
 		if o.limits != nil {
 			rec.Members[m.t.ID] = m.t.Member
@@ -269,13 +269,24 @@
 			}
 		}
 	}
+	if o.limits != nil {
+		for _, id := range slices.Sorted(maps.Keys(o.workers)) {
+			x := o.workers[id]
+			rec.Members[id] = fleet.Member{ID: id, Kind: "worker", Zone: x.zone, Capacity: 1}
+			rec.Health[id] = fleet.Seen{State: fleet.InService}
+			if now < x.warmAt {
+				rec.Health[id] = fleet.Seen{State: "cold"}
+				will = append(will, id)
+			}
+		}
+	}
 	o.Most = max(o.Most, len(will))
 	rec.Limits = o.limits
 	if len(will) > 0 {
 		zones := map[string]bool{}
 		for _, id := range will { // one a zone stands for all that count alike
-			if zone := rec.Members[id].Zone; !zones[zone] {
-				zones[zone] = true
+			if key := rec.Members[id].Kind + rec.Members[id].Zone; !zones[key] {
+				zones[key] = true
 				for _, c := range rec.Room(id) {
 					if c.Why != "" && !o.said {
 						o.said = true
@@ -471,6 +482,22 @@
 	if o.lifted == false && o.halted > 0 && w.now > o.halted && fleet.Takes(s) && d.Halts["all"].Of != "" {
 		w.broke("%s began to take %s out after its yes to a halt", b.id, do.Member)
 	}
+	if m := o.by[do.Member]; m != nil && fleet.Takes(s) {
+		// What has been down for long uses up the room, whatever took it down.
+		truth := fleet.NewRecord()
+		truth.Limits = o.limits
+		for _, x := range o.all {
+			truth.Members[x.t.ID] = x.t.Member
+			if truth.Health[x.t.ID] = (fleet.Seen{State: fleet.InService}); w.now-x.served > 6000 && x != m {
+				truth.Health[x.t.ID] = fleet.Seen{State: "down"}
+			}
+		}
+		for _, c := range truth.Room(do.Member) {
+			if c.Why != "" {
+				w.broke("%s was taken out while others were down for long: %s: %v", do.Member, c.Why, c.Out)
+			}
+		}
+	}
 	if do.Call == "command" {
 		x := o.workers[do.Member]
 		if x.ran[do.No]++; x.ran[do.No] > 1 {
