Bugs of operations are planted where reports are taken; halts come just after a grant too

Need: cold-in and unreached-in changed nothing, as a permit covers a cold member. They are now taken as in service where a report is put on record. In simulated runs a halt may come just when something was granted.

--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -116,8 +116,6 @@
 		return "taken out by " + r.Workers[id].By, true
 	}
 	switch h, ok := r.Health[id]; {
-	case r.Bug == "unreached-in" && h.State == NotLooked, r.Bug == "cold-in" && h.State == "cold":
-		return "", false
 	case !ok:
 		return "nobody has looked at it", true
 	case h.State != InService:
--- a/fleet/ops.go
+++ b/fleet/ops.go
@@ -558,6 +558,9 @@
 func (r *Record) saw(zone string, seen map[string]Seen) {
 	for id, s := range seen {
 		if m, ok := r.Members[id]; ok && m.Zone == zone && len(s.State) <= mostName {
+			if r.Bug == "cold-in" && s.State == "cold" || r.Bug == "unreached-in" && s.State == NotLooked {
+				s.State = InService
+			}
 			if was := r.Health[id]; s.Of >= was.Of {
 				r.Health[id] = s
 			}
--- a/lab/council/ops.go
+++ b/lab/council/ops.go
@@ -34,6 +34,7 @@
 	want    fleet.Op
 	bad     string // what the released program does
 	halted  float64
+	aim     bool // the halt comes just when something was granted
 	lifted  bool
 	turned  bool
 	ended   float64
@@ -140,7 +141,7 @@
 		return
 	}
 	w.later(3000, o.person)
-	if w.r.IntN(2) == 0 {
+	if o.aim = w.r.IntN(4) == 0; !o.aim && w.r.IntN(2) == 0 {
 		o.halted = 4000 + w.o.For*w.r.Float64()
 		w.later(o.halted, o.halt)
 	}
@@ -248,6 +249,17 @@
 // tick is the truth moving on: processes end, and what is out by will is counted.
 func (o *machines) tick() {
 	now := o.w.now
+	if lead := o.w.leader(); o.aim && lead != nil && o.w.r.IntN(4) == 0 {
+		if op := lead.node.Record.Ops[o.op]; op != nil {
+			for _, s := range op.Steps { // whether there is one is the same in any order
+				if fleet.Takes(s) {
+					o.aim, o.halted = false, now
+					o.w.later(60*o.w.r.Float64(), o.halt)
+					break
+				}
+			}
+		}
+	}
 	rec := fleet.NewRecord()
 	var will []string
 	for _, m := range o.all {
