Many steps of an operation go on at once; a name that another agent runs is refused; pace of halts and ways back

Need: an operation put one command on record at a time, a tick of 50 ms each, so that 200 members with room for eight took 51 s. Two agents that name one scheduler put it on record by turns for ever, since addresses are registered anew after each upgrade.

Change: the carrier has one command a member under way and counts what it has asked to be granted; its host begins up to 32 a tick. A member that an agent runs is refused to another agent, which then runs none of it. beamlab cluster pace halt, halt-alone, back, restart, idle. Voters of two versions are played (TestMixedVersions).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,12 +25,13 @@
 )
 
 const (
-	dutyEach  = 50 * time.Millisecond
-	callMost  = time.Second     // of a call to a scheduler or an agent
-	pollMost  = time.Second     // that a call for news waits for some
-	doMost    = 3 * time.Second // that a command waits for what comes of it
-	callsMost = 32              // to schedulers at once, of one matter
-	goneFor   = 3000.0          // ms: an agent that was not heard for so long counts as absent
+	dutyEach     = 50 * time.Millisecond
+	callMost     = time.Second     // of a call to a scheduler or an agent
+	pollMost     = time.Second     // that a call for news waits for some
+	doMost       = 3 * time.Second // that a command waits for what comes of it
+	commandsMost = 32              // of an operation, begun at once
+	callsMost    = 32              // to schedulers at once, of one matter
+	goneFor      = 3000.0          // ms: an agent that was not heard for so long counts as absent
 )
 
 // Agent is a running one.
@@ -229,13 +230,14 @@
 // register puts them on record, once that can be read, and again where they are not there so: a scheduler's second address
 // changes with each upgrade.
 func (a *Agent) register(ctx context.Context) {
-	refused := map[fleet.Member]bool{}
+	refused, done := map[fleet.Member]bool{}, map[fleet.Member]bool{}
 	for ctx.Err() == nil {
 		for _, m := range a.members() {
 			a.mu.Lock()
 			known := a.rec.Members[m.ID] == m
 			a.mu.Unlock()
-			if known || refused[m] {
+			// Of one that others run the address is put on record once: two files that name it would take it by turns.
+			if done[m] = done[m] || known && (m.Kind != "scheduler" || m.Agent == ""); known || refused[m] || done[m] {
 				continue
 			}
 			got, err := a.do(ctx, fleet.Command{Do: "member", Member: &m, Force: true, By: a.file.Name, Caller: a.caller("member")})
@@ -294,7 +296,7 @@
 		}
 		if c.carrier != nil {
 			if c.carrier.Follow(now, a.rec); c.carrier.Over() && a.rec.Matters[name].Owner == a.owner {
-				if c.calls == 0 && !a.asking[name] && !a.asking[name+"/steps"] {
+				if c.calls == 0 && !a.asking[name] {
 					delete(a.has, name)
 					a.ask(ctx, name, fleet.Command{Do: "leave", Matter: name, Owner: a.owner, Fence: c.hold.Fence, By: a.file.Name}, nil)
 				}
@@ -381,12 +383,14 @@
 		c.calls++
 		go a.sample(ctx, c, m)
 	}
-	steps := name + "/steps" // beside renewals, which else would hold them up
-	if a.asking[steps] {
-		return
-	}
-	if cmd, ok := c.carrier.NextCommand(now); ok {
-		a.ask(ctx, steps, cmd, func(got fleet.Answer, err error) {
+	// Beside renewals, which else would hold them up; many at once, as each takes a round of the voters.
+	for range commandsMost {
+		cmd, ok := c.carrier.NextCommand(now)
+		if !ok {
+			return
+		}
+		a.ask(ctx, name+"/steps/"+cmd.ID, cmd, func(got fleet.Answer, err error) {
+			c.carrier.Commanded(cmd)
 			if err == nil && got.Done {
 				a.log.Info("step", "op", c.carrier.ID, "do", cmd.Do, "of", cmd.ID, "to", cmd.To, "no", got.No, "why", cmd.Why)
 			} else if err == nil {
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -195,6 +195,9 @@
 		for id, x := range r.all {
 			k := r.kept.Runs[id]
 			run := rec.ShouldRun(id, k.Run)
+			if of := rec.Members[id].Agent; of != "" && of != r.a.file.Name {
+				run = false // a name that was started twice
+			}
 			if r.touched[id] || run == k.Run {
 				continue
 			}
--- a/cmd/beamlab/cluster.go
+++ b/cmd/beamlab/cluster.go
@@ -173,10 +173,11 @@
 }
 
 type clusterPace struct {
-	What     string `arg:"" enum:"kill,stop,cut,changes" help:"kill, stop, cut: time without an owner when it is; changes: how many a second."`
-	Times    int    `default:"20" help:"How often."`
-	Agents   int    `default:"3" help:"How many agents."`
-	Programs string `required:"" help:"Folder of shalebeam and beamagent."`
+	What       string `arg:"" enum:"kill,stop,cut,changes,idle,halt,halt-alone,back,restart" help:"kill, stop, cut: time without an owner when it is; changes: how many a second; idle: what goes to and fro; halt, halt-alone: to the last new step, with and without a majority; back: from a failed gate; restart: all, by limit."`
+	Times      int    `default:"20" help:"How often."`
+	Agents     int    `default:"3" help:"How many agents."`
+	Schedulers int    `default:"4" help:"How many schedulers."`
+	Programs   string `required:"" help:"Folder of shalebeam and beamagent."`
 }
 
 // Run measures on real processes.
@@ -186,7 +187,12 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	r, err := cluster.Play(ctx, cluster.Options{Seed: 1, Agents: c.Agents, Dir: dir, For: time.Second, Load: 0.1,
+	runs := slices.Contains([]string{"halt", "halt-alone", "back", "restart"}, c.What)
+	load, length := 0.1, time.Second
+	if runs {
+		load, length = 0.5, time.Duration(c.Times)*12*time.Second
+	}
+	r, err := cluster.Play(ctx, cluster.Options{Seed: 1, Agents: c.Agents, Dir: dir, For: length, Load: load, Runs: runs, Schedulers: c.Schedulers,
 		Program: filepath.Join(c.Programs, "shalebeam"), Agent: filepath.Join(c.Programs, "beamagent"), Act: func(d *cluster.Day) {
 			if c.What == "changes" {
 				for _, callers := range []int{1, 64} {
@@ -195,6 +201,32 @@
 				}
 				return
 			}
+			middle := func(all []float64) string {
+				if len(all) == 0 {
+					return "none"
+				}
+				return fmt.Sprintf("%.0f ms (median), %.0f ms at worst", all[len(all)/2], all[len(all)-1])
+			}
+			switch c.What {
+			case "idle":
+				letters, bytes := d.Idle(10 * time.Second)
+				fmt.Printf("%d agents, %d schedulers, idle: %.0f letters, %.0f kB a second between all processes\n", c.Agents, c.Schedulers, letters, bytes/1000)
+				return
+			case "halt", "halt-alone":
+				last, yes := d.HaltPace(c.Times, c.What == "halt-alone")
+				fmt.Printf("%s: %d times, to the last new step %s; to the yes %s\n", c.What, len(last), middle(last), middle(yes))
+				return
+			case "back":
+				halts, backs := d.BackPace(c.Times)
+				fmt.Printf("back: %d times, from the start to the halt %s; from the halt until all are back %s\n", len(halts), middle(halts), middle(backs))
+				return
+			case "restart":
+				for _, share := range []float64{0.05, 0.1, 0.25, 1} {
+					took, n := d.ReleasePace(share)
+					fmt.Printf("restart of %d, share %g: %.1f s\n", n, share, took/1000)
+				}
+				return
+			}
 			g := d.Gaps(c.What, c.Times)
 			fmt.Printf("%s: %d times, without an owner %.0f ms (median), %.0f ms at worst; the term is 1000 ms\n", c.What, len(g), g[len(g)/2], g[len(g)-1])
 		}})
--- a/fleet/carrier.go
+++ b/fleet/carrier.go
@@ -9,9 +9,10 @@
 const (
 	doEach     = 100.0 // how soon an agent is asked again how far it is
 	sampleEach = 500.0
-	grantEach  = 500.0 // after a grant that was refused
-	lostMost   = 2     // where the file names none
-	backMost   = 20000 // for a scheduler whose new process was ready to be seen in service
+	askMost    = 3000.0 // after which a command that nothing came of is asked for again
+	grantEach  = 500.0  // after a grant that was refused
+	lostMost   = 2      // where the file names none
+	backMost   = 20000  // for a scheduler whose new process was ready to be seen in service
 )
 
 // Do is a call to make at a member's agent. It is the same call until its step has moved on.
@@ -51,6 +52,7 @@
 	agent  string  // the life of its agent
 	down   float64 // until when its agent's word that it is down is taken
 	grant  float64
+	asked  float64 // until when a command for it counts as under way
 }
 
 // Carrier is what the owner of an operation knows beside the record. It begins with nothing: what a predecessor did stands
@@ -71,12 +73,14 @@
 	samples   map[string]float64 // when each scheduler was asked last
 	refused   map[Member]bool    // of this record: members like these have no room
 	refusedNo uint64
+	asked     float64 // the same of a command for the whole
+	granting  map[string]bool
 }
 
 // NewCarrier begins an ownership.
 func NewCarrier(id, owner string, fence uint64) *Carrier {
 	return &Carrier{ID: id, Owner: owner, Fence: fence, tries: map[string]*try{}, wave: -1, lost: map[string]bool{},
-		samples: map[string]float64{}}
+		samples: map[string]float64{}, granting: map[string]bool{}}
 }
 
 // Follow takes the record as it now is.
@@ -89,6 +93,7 @@
 		if t := c.tries[id]; t == nil || t.no != s.No {
 			c.tries[id] = &try{no: s.No, since: now}
 			c.movedAt = now
+			delete(c.granting, id)
 		}
 	}
 	if wave := c.op.Wave; wave != c.wave || c.halted() != "" || c.op.Back {
@@ -194,13 +199,40 @@
 	}
 }
 
-// NextCommand decides what to put on record next. Whoever asks has one under way at a time.
+// NextCommand decides what to put on record next: one at a time for a member, and one for the whole. Commanded takes what
+// came of it.
 func (c *Carrier) NextCommand(now float64) (Command, bool) {
 	if c.op == nil || !c.op.Open() {
 		return Command{}, false
 	}
+	cmd, ok := c.next(now)
+	if !ok {
+		return cmd, false
+	}
+	if cmd.Do != "step" {
+		c.asked = now + askMost
+		return cmd, true
+	}
+	c.tries[cmd.ID].asked = now + askMost
+	if cmd.To == Granted {
+		c.granting[cmd.ID] = true
+	}
+	return cmd, true
+}
+
+// Commanded takes that something came of a command, or that nobody knows.
+func (c *Carrier) Commanded(cmd Command) {
+	if cmd.Do != "step" {
+		c.asked = 0
+	} else if t := c.tries[cmd.ID]; t != nil && t.no == cmd.Renewed {
+		t.asked = 0
+	}
+	delete(c.granting, cmd.ID)
+}
+
+func (c *Carrier) next(now float64) (Command, bool) {
 	mine := Command{Matter: OpOf(c.ID), Owner: c.Owner, Fence: c.Fence, By: OpOf(c.ID)}
-	if why := c.trouble(now); why != "" && c.halted() == "" && !c.op.Back {
+	if why := c.trouble(now); why != "" && c.halted() == "" && !c.op.Back && now >= c.asked {
 		cmd := mine
 		if cmd.Do, cmd.ID, cmd.Why = "halt", c.ID, brief(why); c.op.AutoBack {
 			cmd.Then = "back"
@@ -208,6 +240,9 @@
 		return cmd, true
 	}
 	for _, id := range c.op.now() {
+		if now < c.tries[id].asked {
+			continue
+		}
 		if cmd, ok := c.move(now, id); ok {
 			cmd.Matter, cmd.Owner, cmd.Fence, cmd.By, cmd.Do, cmd.ID = mine.Matter, mine.Owner, mine.Fence, mine.By, "step", id
 			return cmd, true
@@ -216,14 +251,14 @@
 	for _, id := range c.op.now() {
 		s, t := c.op.Steps[id], c.tries[id]
 		// What can't go back may keep others from it for ever, as by the room that it takes: they are named too, and it ends.
-		if c.op.Back && !c.op.Arrived(s) && s.Why == "" && now > max(t.since, c.movedAt)+2*backMost && c.rec.Halted(c.op, c.rec.Members[id].Zone) == "" {
+		if c.op.Back && !c.op.Arrived(s) && s.Why == "" && now >= t.asked && now > max(t.since, c.movedAt)+2*backMost && c.rec.Halted(c.op, c.rec.Members[id].Zone) == "" {
 			cmd := mine
 			cmd.Do, cmd.ID, cmd.Renewed = "step", id, s.No
 			cmd.Why = brief(fmt.Sprintf("can't go back: %s for long, seen %s; %s", s.At, c.rec.Health[id].State, c.rec.Grant(c.op, id)))
 			return cmd, true
 		}
 	}
-	if !c.arrived() || c.watchAt > 0 && now < c.watchAt+c.op.Watch || c.halted() != "" && !c.op.Back {
+	if now < c.asked || !c.arrived() || c.watchAt > 0 && now < c.watchAt+c.op.Watch || c.halted() != "" && !c.op.Back {
 		return Command{}, false
 	}
 	cmd := mine
@@ -267,8 +302,8 @@
 		if now < t.grant || !out && c.refused[like] {
 			return cmd, false
 		}
-		if c.rec.Grant(c.op, id) != "" {
-			c.refused[like] = c.refused[like] || !out && c.rec.room(id) != ""
+		if c.rec.grant(c.op, id, c.granting) != "" {
+			c.refused[like] = c.refused[like] || !out && c.rec.room(id, c.granting) != ""
 			return cmd, false
 		}
 		t.grant = now + grantEach // refused all the same, it is asked for again, not at once
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -138,7 +138,10 @@
 }
 
 // Room counts a member, were it taken out, under each limit that covers it.
-func (r *Record) Room(id string) (all []Count) {
+func (r *Record) Room(id string) []Count { return r.roomWith(id, nil) }
+
+// roomWith takes further members as out already.
+func (r *Record) roomWith(id string, also map[string]bool) (all []Count) {
 	m := r.Members[id]
 	for _, l := range r.limits(m) {
 		c := Count{Limit: l, Allowed: math.MaxInt}
@@ -152,7 +155,7 @@
 			if r.Bug == "zones-alone" && o.Zone != m.Zone {
 				continue
 			}
-			if _, out := r.IsOut(o.ID); out || o.ID == id {
+			if _, out := r.IsOut(o.ID); out || o.ID == id || also[o.ID] {
 				c.Out = append(c.Out, o.ID)
 				gone += o.Capacity
 			}
@@ -179,8 +182,8 @@
 }
 
 // room is why a member may not be taken out now, "" where it may.
-func (r *Record) room(id string) string {
-	for _, c := range r.Room(id) {
+func (r *Record) room(id string, also map[string]bool) string {
+	for _, c := range r.roomWith(id, also) {
 		if c.Why != "" {
 			return c.Why
 		}
--- a/fleet/ops.go
+++ b/fleet/ops.go
@@ -182,7 +182,10 @@
 }
 
 // Grant is why a member may not be taken out now for an operation, "" where it may.
-func (r *Record) Grant(op *Op, id string) string {
+func (r *Record) Grant(op *Op, id string) string { return r.grant(op, id, nil) }
+
+// grant takes further members as granted already: an owner asks for many at once.
+func (r *Record) grant(op *Op, id string, also map[string]bool) string {
 	m, known := r.Members[id]
 	switch p, has := r.Permits[id]; {
 	case !known:
@@ -196,7 +199,7 @@
 		return why
 	}
 	if op.Together > 0 {
-		n := 0
+		n := len(also)
 		for _, p := range r.Permits {
 			if p.Op == op.ID {
 				n++
@@ -209,7 +212,7 @@
 	if r.Bug == "back-unlimited" && op.Back {
 		return ""
 	}
-	return r.room(id)
+	return r.room(id, also)
 }
 
 func (r *Record) begin(no uint64, c *Command) (string, uint64) {
--- a/fleet/ops_test.go
+++ b/fleet/ops_test.go
@@ -61,7 +61,7 @@
 		if x.out != "" {
 			r.Health[x.out] = Seen{State: "cold"}
 		}
-		if why := r.room(x.ask); (why == "") != x.may {
+		if why := r.room(x.ask, nil); (why == "") != x.may {
 			t.Errorf("case %d: %s", i, why)
 		}
 	}
@@ -82,6 +82,10 @@
 	if a := apply(t, r, Command{Do: "begin", By: "ann", Op: &Op{Kind: "restart", Waves: [][]string{{"s0"}}, Together: 2}}); a.Done {
 		t.Error("together over the limit was taken")
 	}
+	apply(t, r, Command{Do: "member", Member: &Member{ID: "a1", Kind: "agent", Zone: "b", Addr: "x:9"}})
+	if a := apply(t, r, Command{Do: "member", Force: true, Member: &Member{ID: "s0", Kind: "scheduler", Zone: "a", Addr: "x:8", Agent: "a1"}}); a.Done {
+		t.Error("a name that another agent runs was taken")
+	}
 	begun := apply(t, r, Command{Do: "begin", By: "ann", Op: &Op{Kind: "restart", Waves: [][]string{{"s0", "s1"}}}})
 	id := fmt.Sprint("restart-", begun.No)
 	if a := apply(t, r, Command{Do: "begin", By: "bob", Op: &Op{Kind: "drain", Waves: [][]string{{"s1"}}}}); a.Done {
@@ -122,6 +126,7 @@
 	}
 	// What an agent begins of it: not without the record, not under a halt that was told to it, not twice, not for an old owner.
 	d := NewDoer("life")
+	d.Bug = os.Getenv("SHALEBEAM_BUG") // stale-step and halt-at-owner are named here
 	do := Do{Op: id, Member: "s1", Call: "run", No: r.Ops[id].Steps["s1"].No, Fence: 1}
 	late := do
 	late.Fence = 9
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -191,7 +191,7 @@
 func (r *Record) Apply(no uint64, raw []byte) (Answer, error) {
 	var c Command
 	err := json.Unmarshal(raw, &c)
-	if c.V > Form {
+	if c.V > Form || r.Bug == "form-1" && c.V > 1 { // the second is an older program, as a test plays it
 		return Answer{}, fmt.Errorf("command %d of form %d: %w", no, c.V, ErrNewer)
 	}
 	r.No = no
@@ -251,6 +251,9 @@
 		return "", 0
 	case known && !c.Force:
 		return "there is a member of this id", 0
+	case known && was.Agent != "" && was.Agent != m.Agent && r.Members[was.Agent].ID != "":
+		// A name that was started twice: taken by turns, nobody would know which is meant.
+		return "it is " + was.Agent + "'s", 0
 	case len(r.Members) >= mostMembers:
 		return "the record holds no more members", 0
 	}
@@ -354,7 +357,7 @@
 		return "", 0
 	case r.Members[c.ID].Kind == "worker" && !c.Force:
 		// A person's own 'down' uses up the same room. One who must, as where a worker does harm, says so.
-		if why := r.room(c.ID); why != "" {
+		if why := r.room(c.ID, nil); why != "" {
 			return why, 0
 		}
 	}
--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -262,7 +262,8 @@
 	for _, p := range d.agents {
 		p.file.Voter = slices.Clone(voters)
 		for _, o := range d.agents {
-			if o == p {
+			// Of hundreds, each has a relay to the voters alone: that is where they ask.
+			if o == p || d.opt.Agents > 30 && o.no >= d.opt.Voters {
 				continue
 			}
 			if err := d.link(p, o.file.Name, o.file.Listen); err != nil {
--- a/lab/cluster/operators.go
+++ b/lab/cluster/operators.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"shalebeam/agent"
@@ -41,7 +42,7 @@
 		if o := all[r.IntN(len(all))].ID; o != some[0] {
 			some = append(some, o)
 		}
-		switch what := r.IntN(9); what {
+		switch r.IntN(10) {
 		case 0, 1:
 			d.began(fleet.Op{Kind: "restart", Waves: [][]string{some}})
 		case 2:
@@ -59,8 +60,13 @@
 			d.began(fleet.Op{Kind: "maintain", Pause: 200, Waves: [][]string{{workers[r.IntN(len(workers))]}}})
 		case 5, 6:
 			bug := bugs[r.IntN(len(bugs))]
-			d.began(fleet.Op{Kind: "release", Waves: fleet.Waves(all), Version: d.released(bug), Watch: 1000, WaveMost: 20000, AutoBack: r.IntN(2) == 0,
-				Gates: fleet.Gates{Settled: 0.3, Txns: 20}})
+			d.began(fleet.Op{Kind: "release", Waves: fleet.Waves(all), Version: d.released(bug), Watch: 2500, WaveMost: 20000, AutoBack: r.IntN(2) == 0,
+				Gates: fleet.Gates{Settled: 0.3, Txns: 60}})
+		case 9:
+			d.say("bad minutes for all")
+			d.live.Bad(0.7)
+			d.rest(3 * time.Second)
+			d.live.Bad(0)
 		case 7:
 			d.pause(ctx, r)
 		case 8:
@@ -84,6 +90,20 @@
 // pause halts all at the record and at every agent, and lifts it a while later.
 func (d *day) pause(ctx context.Context, r *rand.Rand) {
 	p := pause{agents: map[string]bool{}}
+	if r.IntN(2) == 0 || d.opt.Bug == "halt-at-owner" { // just when something was granted, and its agent is about to begin
+		_ = d.await(time.Second, "", func() error {
+			if rec, err := d.read(ctx); err == nil {
+				for _, op := range rec.Ops {
+					for _, s := range op.Steps {
+						if fleet.Takes(s) {
+							return nil
+						}
+					}
+				}
+			}
+			return errors.New("not yet")
+		})
+	}
 	for i, a := range d.agents {
 		if d.HaltAt(i, "all") {
 			p.agents[a.file.Name] = true
@@ -106,6 +126,7 @@
 
 // settle has a person bring all back once faults are over: each member ends in a known state, within a minute of contact.
 func (d *day) settle() {
+	d.drained()
 	tried := map[string]time.Time{}
 	again := func(key string) bool {
 		if time.Since(tried[key]) < 3*time.Second {
@@ -163,6 +184,39 @@
 	}
 }
 
+// drained tells whether somebody serves who was drained, and never brought back; and whether a program that is well was
+// held against something else than the rest of the fleet.
+func (d *day) drained() {
+	rec, err := d.read(d.ctx)
+	if err != nil {
+		return
+	}
+	serves := map[string]bool{}
+	for _, s := range d.live.Truth() {
+		serves[s.ID] = !s.Out
+	}
+	back := map[string]uint64{}
+	for _, op := range rec.Ops {
+		if op.Kind == "undrain" {
+			for id, s := range op.Steps {
+				back[id] = max(back[id], s.No)
+			}
+		}
+	}
+	for _, opID := range sorted(rec.Ops) {
+		op := rec.Ops[opID]
+		for _, id := range sorted(op.Steps) {
+			if s := op.Steps[id]; op.Kind == "drain" && op.Done && !op.Back && s.At == fleet.Gone && back[id] < s.No && serves[id] {
+				d.broke("%s was drained by %s, was not brought back, and serves", id, opID)
+			}
+		}
+		well := strings.HasSuffix(op.Version.Program, "-none") || strings.HasSuffix(op.Version.Program, "-again")
+		if h := rec.Halts[opID]; well && strings.HasPrefix(h.Why, "gate: ") {
+			d.broke("%s brought a program that is well, and was halted: %s", opID, h.Why)
+		}
+	}
+}
+
 func (d *day) where(rec *fleet.Record, op *fleet.Op) (text string) {
 	for _, id := range sorted(op.Steps) {
 		if s := op.Steps[id]; !op.Arrived(s) && len(text) < 400 {
--- a/lab/cluster/ops.go
+++ b/lab/cluster/ops.go
@@ -5,12 +5,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"shalebeam/agent"
@@ -275,3 +277,136 @@
 	}
 	return yes
 }
+
+// HaltPace measures, so many times, how long after a halt was called the last step began that takes somebody out, in ms; and
+// how long the yes took. With alone, a minority of the agents is told, cut off from the others.
+func (d *Day) HaltPace(times int, alone bool) (last, yes []float64) {
+	var all []string
+	for _, m := range d.live.Schedulers() {
+		all = append(all, m.ID)
+	}
+	d.Limits([]fleet.Limit{{Kind: "scheduler", Share: 0.5}})
+	for i := range times {
+		id, _ := d.Begin(fleet.Op{Kind: "restart", Waves: [][]string{all}})
+		d.Until("it has begun", func() bool { return id != "" && len(d.steps("", true)) > 0 })
+		d.rest(time.Duration(100+37*(i%20)) * time.Millisecond)
+		agents := d.agents
+		if alone {
+			agents = d.agents[:1]
+			d.Links(0, Gone, Gone)
+		}
+		began := time.Now()
+		var told sync.WaitGroup
+		for n := range agents {
+			told.Go(func() { d.HaltAt(n, "all") })
+		}
+		if !alone {
+			told.Go(func() { _, _ = d.person(fleet.Command{Do: "halt", ID: "all", Why: "a look"}) })
+		}
+		told.Wait()
+		yes = append(yes, float64(time.Since(began))/1e6)
+		d.rest(1500 * time.Millisecond)
+		after := 0.0
+		for _, s := range d.steps("", true) {
+			if s.at.After(began) && slices.ContainsFunc(agents, func(p *proc) bool { return p.file.Name == s.agent }) {
+				after = max(after, float64(s.at.Sub(began))/1e6)
+			}
+		}
+		last = append(last, after)
+		if alone {
+			d.Links(0, Whole, Whole)
+			d.Until("the halt is on record", func() bool {
+				rec, err := d.read(d.ctx)
+				return err == nil && rec.Halts["all"].By != ""
+			})
+		}
+		_, _ = d.person(fleet.Command{Do: "lift", ID: "all"})
+		d.Until("it is over", func() bool { op := d.Op(id); return op != nil && op.Done })
+	}
+	slices.Sort(last)
+	slices.Sort(yes)
+	return last, yes
+}
+
+// BackPace measures how long a release of a program that declines all takes from its start to its halt, and from there until all
+// have what ran before, in ms.
+func (d *Day) BackPace(times int) (halts, backs []float64) {
+	var all []fleet.Member
+	for _, m := range d.live.Schedulers() {
+		all = append(all, fleet.Member{ID: m.ID, Zone: m.Zone})
+	}
+	d.Limits([]fleet.Limit{{Kind: "scheduler", Share: 0.5}})
+	for range times {
+		began := time.Now()
+		id, why := d.Begin(fleet.Op{Kind: "release", Waves: fleet.Waves(all), Version: d.released("declines-all"), Watch: 4000, AutoBack: true,
+			Gates: fleet.Gates{Settled: 0.3, Txns: 30}})
+		if id == "" {
+			d.Break("refused: %s", why)
+			return
+		}
+		var halted time.Time
+		d.Until("it is halted", func() bool {
+			rec, err := d.read(d.ctx)
+			if err == nil && rec.Halts[id].By != "" {
+				halted = time.Now()
+			}
+			return !halted.IsZero()
+		})
+		d.Until("all have what ran before", func() bool { op := d.Op(id); return op != nil && op.Back && op.Done })
+		halts = append(halts, float64(halted.Sub(began))/1e6)
+		backs = append(backs, float64(time.Since(halted))/1e6)
+		_, _ = d.person(fleet.Command{Do: "close", Matter: fleet.OpOf(id)})
+	}
+	slices.Sort(halts)
+	slices.Sort(backs)
+	return halts, backs
+}
+
+// ReleasePace measures how long it takes to restart all within a limit, in ms, and how many members that is.
+func (d *Day) ReleasePace(share float64) (took float64, members int) {
+	var all []string
+	for _, m := range d.live.Schedulers() {
+		all = append(all, m.ID)
+	}
+	d.Limits([]fleet.Limit{{Kind: "scheduler", Share: share}})
+	began := time.Now()
+	id, why := d.Begin(fleet.Op{Kind: "restart", Waves: [][]string{all}})
+	if id == "" {
+		d.Break("refused: %s", why)
+		return
+	}
+	_ = d.await(2*time.Minute, "", func() error {
+		if op := d.Op(id); op != nil && op.Done {
+			return nil
+		}
+		return errors.New("not yet")
+	})
+	return float64(time.Since(began)) / 1e6, len(all)
+}
+
+// Idle is how many letters voters send a second, and how many bytes go between all processes, while nothing happens.
+func (d *Day) Idle(f time.Duration) (letters, bytes float64) {
+	count := func() (l int) {
+		for i := range d.agents {
+			var s agent.Status
+			if (&agent.Caller{HTTP: d.http, Addrs: d.At(i)}).Get(d.ctx, "/v1/status", &s) == nil {
+				l += s.Sent.Letters
+			}
+		}
+		return l
+	}
+	d.rest(5 * time.Second)
+	l0 := count()
+	r0 := d.carried()
+	d.rest(f)
+	l1 := count()
+	return float64(l1-l0) / f.Seconds(), float64(d.carried()-r0) / f.Seconds()
+}
+
+// carried is how many bytes the relays between processes have carried, both ways.
+func (d *day) carried() (n int) {
+	for _, r := range d.links {
+		n += int(r.bytes.Load())
+	}
+	return n
+}
--- a/lab/cluster/relay.go
+++ b/lab/cluster/relay.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,15 +20,16 @@
 
 // relay is a directed link from one process to another's address: what the one sends, and what comes back.
 type relay struct {
-	l    net.Listener
-	to   string
-	mu   sync.Mutex
-	cond *sync.Cond
-	mode [2]Mode // there, and back
-	open map[net.Conn]bool
-	done bool
-	turn int // of the connections made from now on
-	held int // those of this turn and before deliver nothing, while later ones pass
+	l     net.Listener
+	to    string
+	mu    sync.Mutex
+	cond  *sync.Cond
+	mode  [2]Mode // there, and back
+	open  map[net.Conn]bool
+	done  bool
+	turn  int          // of the connections made from now on
+	bytes atomic.Int64 // carried, both ways
+	held  int          // those of this turn and before deliver nothing, while later ones pass
 }
 
 func newRelay(to string) (*relay, error) {
@@ -164,6 +166,7 @@
 				k = 1
 				time.Sleep(5 * time.Millisecond)
 			}
+			r.bytes.Add(int64(k))
 			if _, err := to.Write(buf[sent : sent+k]); err != nil {
 				_, _ = io.Copy(io.Discard, from)
 				return
--- a/lab/council/ops.go
+++ b/lab/council/ops.go
@@ -385,10 +385,12 @@
 		}
 		o.call(a, c, do)
 	}
-	if steps := name + "/steps"; !a.busy[steps] {
-		if cmd, ok := c.carrier.NextCommand(now); ok {
-			o.w.send(a, steps, cmd, nil)
+	for range 32 {
+		cmd, ok := c.carrier.NextCommand(now)
+		if !ok {
+			return
 		}
+		o.w.send(a, name+"/steps/"+cmd.ID, cmd, func(fleet.Answer) { c.carrier.Commanded(cmd) })
 	}
 }
 
--- a/lab/live/minded.go
+++ b/lab/live/minded.go
@@ -211,6 +211,13 @@
 	return all
 }
 
+// Bad has so large a part of all workers' answers fail, from now on.
+func (f *Fleet) Bad(part float64) {
+	for _, b := range f.w.boxes {
+		b.act(script.Act{Do: "erring", Begin: part > 0, Factor: part})
+	}
+}
+
 // Renew ends a worker and starts it anew, cold, as the site's own command does.
 func (f *Fleet) Renew(id string, gone time.Duration) {
 	for _, b := range f.w.boxes {
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -32,6 +32,7 @@
 	done  map[string]fleet.Answer
 	errs  map[uint64]error
 	turn  uint64
+	bug   map[uint64]string
 }
 
 func newSet(t testing.TB, n int, seed uint64) *set {
@@ -49,7 +50,7 @@
 
 func (s *set) start(id uint64, join bool) {
 	s.turn++
-	n, err := Open(Options{ID: id, Voters: s.first, Join: join, Disk: s.disks[id], Start: s.turn})
+	n, err := Open(Options{ID: id, Voters: s.first, Join: join, Disk: s.disks[id], Start: s.turn, Bug: s.bug[id]})
 	if delete(s.nodes, id); err != nil {
 		s.errs[id] = err
 		return
@@ -446,3 +447,33 @@
 		t.Error("it counts")
 	}
 }
+
+// Two versions of the program keep one record until the first command of the newer form: then the older one stops, with the
+// reason, and stays as it is; it goes on where it was once it is upgraded.
+func TestMixedVersions(t *testing.T) {
+	s := newSet(t, 3, 7)
+	s.bug = map[uint64]string{}
+	s.change("ann", 1, "out", "w1")
+	old := s.leader().o.ID%3 + 1
+	s.kill(old)
+	s.bug[old] = "form-1"
+	s.start(old, false)
+	s.change("ann", 2, "out", "w2")
+	s.until("the older one has it too", func() bool { return s.nodes[old].Record.Workers["w2"].Out })
+	raw, _ := json.Marshal(fleet.Command{V: 2, Caller: "bob", Number: 1, Do: "limits", By: "bob", Limits: []fleet.Limit{{Kind: "scheduler", Least: 1}}})
+	s.until("limits are on record", func() bool {
+		if l := s.leader(); l != nil {
+			_ = l.Propose(s.now, raw)
+		}
+		return s.done["bob1"].Done
+	})
+	s.until("the older one stops", func() bool { return errors.Is(s.errs[old], fleet.ErrNewer) })
+	if n := s.nodes[old]; len(n.Record.Limits) > 0 || !n.Record.Workers["w2"].Out {
+		t.Error("it is not as it was")
+	}
+	s.change("cid", 1, "out", "w3") // the others go on
+	s.kill(old)
+	s.bug[old] = ""
+	s.start(old, false)
+	s.until("upgraded, it has all", func() bool { r := s.nodes[old].Record; return len(r.Limits) == 1 && r.Workers["w3"].Out })
+}
