Voters don't wait for ever for a longer log whose disk has rotted since

Cause, from the voters' logs: all three were killed and started; voter 3 told the others of a log that went further than theirs, of entries that nobody else had, and its disk rotted before it could pass them on. quorum/node.go Step() keeps a voter that was told of a longer log from voting for a shorter one, as what it kept itself and lost may be there alone; both others so waited for voter 3, and it could not be replaced without a leader. Ruled out: links (healed), the new rule on terms (both counted).

Change: what others told is kept by who told it; a voter that waits for such a log asks again, and an answer that says that this disk lacks something ends the waiting: that disk is the one that failed, not this one's.

TestFurthestLogRots fails without.

--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -120,6 +120,9 @@
 	}
 	if o.Load == 0 {
 		o.Load = 0.4
+		if o.Runs { // twice as many processes, and this machine's cores for all of them
+			o.Load = 0.25
+		}
 	}
 }
 
--- a/lab/council/ops.go
+++ b/lab/council/ops.go
@@ -39,6 +39,7 @@
 	turned  bool
 	ended   float64
 	raised  float64
+	relift  float64
 	said    bool
 	drained bool
 	Calls   int
@@ -676,6 +677,10 @@
 		return
 	}
 	_, halted := r.Halts[o.op]
+	if _, all := r.Halts["all"]; all && w.now > o.relift+3000 { // one that came on record behind the call that lifted it
+		o.relift = w.now
+		o.lift()
+	}
 	switch {
 	case halted && !op.Back && !o.turned:
 		o.turned = true
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -94,7 +94,7 @@
 	leader   uint64
 	counts   bool
 	behind   bool
-	need     Mark            // the furthest log that others told of at the start
+	need     map[uint64]Mark // how far others' logs went, as each told at the start
 	toldBy   map[uint64]bool // those who have said what they saw of this one
 	toldTerm uint64
 	ledTerm  uint64            // the highest term whose leader has said what it saw of this one
@@ -118,7 +118,7 @@
 
 // Open starts a voter from its disk.
 func Open(o Options) (n *Node, err error) {
-	n = &Node{o: o, mem: raft.NewMemoryStorage(), Record: fleet.NewRecord(), marks: map[uint64]Mark{},
+	n = &Node{o: o, mem: raft.NewMemoryStorage(), Record: fleet.NewRecord(), marks: map[uint64]Mark{}, need: map[uint64]Mark{},
 		toldBy: map[uint64]bool{}}
 	n.Record.Bug = o.Bug
 	l, k, err := openLog(o.Disk, o.Bug)
@@ -273,6 +273,11 @@
 	}
 	if n.counts {
 		n.raft.Tick()
+		if n.ticks++; n.ticks%askTicks == 1 {
+			for _, id := range n.unmet() {
+				n.out = append(n.out, Letter{From: n.o.ID, To: id, Ask: n.o.Start})
+			}
+		}
 		return nil
 	}
 	if n.toldAt > 0 {
@@ -308,8 +313,10 @@
 			return nil // a letter that can't be read is lost, as any may be
 		}
 		n.see(m)
-		if m.GetType() == pb.MsgVote && n.last().before(n.need) && (Mark{Term: m.GetLogTerm(), Index: m.GetIndex()}).before(n.need) {
-			return nil // what this one kept may be in no other log than that one
+		for _, far := range n.unmet() {
+			if m.GetType() == pb.MsgVote && (Mark{Term: m.GetLogTerm(), Index: m.GetIndex()}).before(n.need[far]) {
+				return nil // what this one kept may be in no other log than that one
+			}
 		}
 		_ = n.raft.Step(m) // what it says is an error is a message of a voter that was removed, or of none
 	}
@@ -356,14 +363,31 @@
 	return err == nil && m.Of != 0 && of != m.Of // one that is gone behind a snapshot was applied
 }
 
+// unmet lists those whose logs went further, when they told of them, than this one's does: it votes for nobody with a
+// shorter one, as what it kept itself and lost may be there alone.
+func (n *Node) unmet() (far []uint64) {
+	for _, id := range slices.Sorted(maps.Keys(n.need)) {
+		if n.last().before(n.need[id]) {
+			far = append(far, id)
+		}
+	}
+	return far
+}
+
 // told takes what another voter saw this one keep. It counts once a majority that leaves itself out has said so: then
 // whatever it acknowledged towards a decision is known to one of them at least.
 func (n *Node) told(l Letter) error {
-	if n.counts || l.Told != n.o.Start {
+	if l.Told != n.o.Start {
 		return nil
 	}
+	// What a voter had whose disk is found to lack something is not to be waited for: that disk is the one that lied, not this.
 	if l.Behind {
-		l.Last = Mark{} // what it has is not the whole of what it had
+		delete(n.need, l.From)
+	} else if !n.counts {
+		n.need[l.From] = l.Last
+	}
+	if n.counts {
+		return nil
 	}
 	if n.lacks(l.Mark) {
 		if n.o.Bug != "old-disk-votes" {
@@ -377,9 +401,6 @@
 	if n.toldTerm = max(n.toldTerm, l.Term); l.Leads {
 		n.ledTerm = max(n.ledTerm, l.Term)
 	}
-	if n.need.before(l.Last) {
-		n.need = l.Last
-	}
 	if l.VotersNo > max(n.Record.VotersNo, n.newerNo) {
 		n.newer, n.newerNo = l.Voters, l.VotersNo
 		if _, in := l.Voters[n.o.ID]; !in && !n.o.Join {
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -477,3 +477,42 @@
 	s.start(old, false)
 	s.until("upgraded, it has all", func() bool { r := s.nodes[old].Record; return len(r.Limits) == 1 && r.Workers["w3"].Out })
 }
+
+// A voter with entries that nobody else has tells of them when all start, and its disk rots before it can pass them on. The
+// others don't wait for them for ever.
+func TestFurthestLogRots(t *testing.T) {
+	s := newSet(t, 3, 8)
+	s.change("ann", 1, "out", "w1")
+	far := s.leader()
+	id := far.o.ID
+	for other := range s.first {
+		if other != id {
+			s.cut[[2]uint64{id, other}], s.cut[[2]uint64{other, id}] = true, true
+		}
+	}
+	for i := range uint64(4) {
+		_ = far.Propose(s.now, command("lost", i+1, "out", "x"))
+	}
+	s.step()
+	for other := range s.first {
+		s.kill(other)
+	}
+	clear(s.cut)
+	for other := range s.first {
+		s.start(other, false)
+	}
+	others := []uint64{id%3 + 1, (id+1)%3 + 1}
+	s.until("the others were told", func() bool { return s.nodes[others[0]].counts && s.nodes[others[1]].counts })
+	for _, other := range others {
+		if len(s.nodes[other].unmet()) == 0 {
+			t.Fatal("the furthest log is not further")
+		}
+	}
+	s.kill(id)
+	f := s.disks[id].files[logName]
+	f.kept[len(f.kept)/3] ^= 4
+	s.start(id, false)
+	if a := s.change("bob", 1, "out", "w2"); !a.Done {
+		t.Error(a.Why)
+	}
+}
