A member that is out for one operation is in no other until it is brought back

Cause: fleet/ops.go begin() looked at open operations of a member, and not at permits of those that are over. Now it is refused, and says what to do. Case added to TestStepsOfOneMember, which fails without.

--- a/fleet/ops.go
+++ b/fleet/ops.go
@@ -247,6 +247,10 @@
 				}
 			}
 			op.Steps[id] = Step{At: Waits, No: no}
+			// It would wait for what only its undrain ends, and keep that from beginning.
+			if p, out := r.Permits[id]; out && o.Kind != "undrain" && r.Bug != "two-permits" {
+				return fmt.Sprintf("%s is out for %s: bring it back first, with undrain", id, p.Op), 0
+			}
 			if o.Kind == "undrain" {
 				// Of a drain, or of what ended without it: a person says that it is well.
 				if p, ok := r.Permits[id]; !ok || r.Ops[p.Op] != nil && r.Ops[p.Op].Open() {
--- a/fleet/ops_test.go
+++ b/fleet/ops_test.go
@@ -86,6 +86,11 @@
 	if a := apply(t, r, Command{Do: "member", Force: true, Member: &Member{ID: "s0", Kind: "scheduler", Zone: "a", Addr: "x:8", Agent: "a1"}}); a.Done {
 		t.Error("a name that another agent runs was taken")
 	}
+	r.Permits["s3"] = Permit{"drain-1", 1}
+	if a := apply(t, r, Command{Do: "begin", By: "bob", Op: &Op{Kind: "drain", Waves: [][]string{{"s3"}}}}); a.Done {
+		t.Error("a member that is out was taken into a second operation")
+	}
+	delete(r.Permits, "s3")
 	begun := apply(t, r, Command{Do: "begin", By: "ann", Op: &Op{Kind: "restart", Waves: [][]string{{"s0", "s1"}}}})
 	id := fmt.Sprint("restart-", begun.No)
 	if a := apply(t, r, Command{Do: "begin", By: "bob", Op: &Op{Kind: "drain", Waves: [][]string{{"s1"}}}}); a.Done {
