Agents are sent the record without sessions and audit

Each renewal changes the record, and each agent is then sent all of it: with up to 4,096 sessions and 1,000 rows of audit that grows with the fleet's age as well as its size. Only voters need those; agents are sent the rest. What status could show of the audit nobody asked for, and is gone; beamctl events reads the record.

--- a/agent/api.go
+++ b/agent/api.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
 	"time"
 
@@ -35,7 +34,6 @@
 	Syncs  int               `json:"syncs,omitempty"`
 	Bytes  int               `json:"log_bytes,omitempty"`
 	Sent   quorum.Traffic    `json:"sent"`
-	Rows   []fleet.Row       `json:"rows,omitempty"`
 	Runs   []Running         `json:"runs,omitempty"`  // the schedulers of this machine that the agent runs
 	Halts  []fleet.Halt      `json:"halts,omitempty"` // told here
 }
@@ -242,7 +240,9 @@
 		n.Leader = v.Addrs[v.Leader]
 	}
 	if v.No > after {
-		n.Record = v.Raw
+		if n.Record = v.Lean; r.URL.Query().Get("agent") == "" {
+			n.Record = v.Raw
+		}
 	}
 	say(w, 200, n)
 }
@@ -353,7 +353,7 @@
 	}
 }
 
-func (a *Agent) status(w http.ResponseWriter, r *http.Request) {
+func (a *Agent) status(w http.ResponseWriter, _ *http.Request) {
 	now := a.clock.Now()
 	s := Status{Name: a.file.Name, Owner: a.owner, Zone: a.file.Zone, Holds: map[string]uint64{}, Leader: a.leaderAddr()}
 	if a.host != nil {
@@ -370,8 +370,5 @@
 			s.Holds[name] = c.hold.Fence
 		}
 	}
-	if n, err := strconv.Atoi(r.URL.Query().Get("rows")); err == nil && n > 0 {
-		s.Rows = slices.Clone(a.rec.Rows[max(0, len(a.rec.Rows)-n):])
-	}
 	say(w, 200, s)
 }
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -424,6 +424,14 @@
 	return &n
 }
 
+// Lean is a snapshot for those who act on the record and don't keep it: every agent is sent it at each change, and a renewal
+// would else carry thousands of sessions and the whole audit.
+func (r *Record) Lean() []byte {
+	n := *r
+	n.Sessions, n.Rows = nil, nil
+	return n.Snapshot()
+}
+
 // Restore reads a snapshot. Where that fails the record is as it was.
 func (r *Record) Restore(raw []byte) error {
 	n := NewRecord()
--- a/quorum/host.go
+++ b/quorum/host.go
@@ -45,6 +45,7 @@
 // View is what a voter knows, as others may read it.
 type View struct {
 	Raw    []byte // the record; it does not change
+	Lean   []byte // the same without sessions and audit, which only voters need
 	No     uint64
 	Leader uint64
 	Leads  bool
@@ -191,6 +192,7 @@
 	}
 	if v.Raw == nil || v.No != n.Record.No {
 		v.Raw, v.No = n.Record.Snapshot(), n.Record.No
+		v.Lean = n.Record.Lean()
 	}
 	close(h.fresh)
 	h.fresh = make(chan struct{})
