--- a/lab/cluster/operators.go
+++ b/lab/cluster/operators.go
@@ -192,6 +192,7 @@
 		return
 	}
 	serves := map[string]bool{}
+	d.rest(500 * time.Millisecond) // one that just ended still stands as serving in the lab's last looks
 	for _, s := range d.live.Truth() {
 		serves[s.ID] = !s.Out
 	}
