An agent without a data folder logs no error at its start, and says that its halts don't last

Seen by reading: an agent that keeps nothing tried to write its notes once it had read the record, and logged an error; told to halt it said yes, though a restart would forget it. Now it says so. Tests of halts and drains between processes pass.

--- a/agent/runs.go
+++ b/agent/runs.go
@@ -126,6 +126,7 @@
 func newRuns(a *Agent, disk quorum.Disk) (*runs, error) {
 	r := &runs{a: a, disk: disk, all: map[string]*runner{}, kept: kept{fleet.NewDoer(a.start), map[string]*ran{}}, http: NewHTTP(nil, callMost), touched: map[string]bool{}}
 	if disk == nil {
+		r.agreed = true // it runs nothing
 		return r, nil
 	}
 	var err error
@@ -477,6 +478,9 @@
 }
 
 func (r *runs) mustKeep() {
+	if r.disk == nil {
+		return // halts told here hold while it lives, as it said
+	}
 	if err := r.keep(); err != nil {
 		r.a.log.Error("not kept", "err", err)
 	}
@@ -827,11 +831,9 @@
 	if _, there := r.kept.Doer.Halts[h.Of]; !there {
 		r.kept.Doer.Halts[h.Of] = h
 		a.log.Warn("halted here", "of", h.Of, "by", h.By, "why", h.Why)
-		if r.disk != nil {
-			if err := r.keep(); err != nil {
-				refuse(w, 503, "halted here, and it could not be kept over a restart: "+err.Error())
-				return
-			}
+		if err := r.keep(); err != nil {
+			refuse(w, 503, "halted here, and it could not be kept over a restart: "+err.Error())
+			return
 		}
 	}
 	yes := HaltAnswer{Agent: a.file.Name}
@@ -869,9 +871,7 @@
 			delete(r.kept.Doer.Halts, h.Of) // of nothing that the record knows
 			a.log.Warn("halt dropped", "of", h.Of, "why", got.Why)
 		}
-		if r.disk != nil {
-			r.mustKeep()
-		}
+		r.mustKeep()
 		r.mu.Unlock()
 	}
 }
