A release that is begun again does not take the new version for what ran before

Cause: an agent's disk lied, its note of the step was lost, and the step was begun again while the new version already ran; agent/runs.go begin() kept that as the former one.

--- a/agent/runs.go
+++ b/agent/runs.go
@@ -754,7 +754,7 @@
 			}
 			want.Config = name
 		}
-		if !kept {
+		if !kept && now != want { // by notes of an older disk it may be begun again: what runs then is not what ran before
 			k.Former[op.ID] = now
 		}
 	case s.Undo:
--- a/lab/council/ops.go
+++ b/lab/council/ops.go
@@ -561,7 +561,7 @@
 		if want = o.bad; want == "" {
 			want = "good"
 		}
-		if !kept {
+		if !kept && now != want {
 			r.Former[op.ID] = now
 		}
 	case s.Undo:
