What nothing reads is taken out; a test's comment says what it plays

Read once more: fleet's record kept the number of the last lift and nobody asked for it; lab/live had a mark and a list of workers' standing that nothing calls.

--- a/fleet/ops.go
+++ b/fleet/ops.go
@@ -524,7 +524,6 @@
 		return "nothing of that name is halted", 0
 	default:
 		delete(r.Halts, c.ID)
-		r.LiftedNo = no
 		r.note(no, "lift", c.ID, c)
 		return "", h.No
 	}
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -132,7 +132,6 @@
 	Permits  map[string]Permit  `json:"permits,omitempty"`
 	Ops      map[string]*Op     `json:"ops,omitempty"`
 	Halts    map[string]Halt    `json:"halts,omitempty"`
-	LiftedNo uint64             `json:"lifted_no,omitempty"` // the last lift of a halt
 	// Retries counts commands that were sent again and not carried out again.
 	Retries uint64 `json:"retries"`
 	// Bug is one planted by a test of what finds it, "" in any other use.
--- a/lab/cluster/ops_test.go
+++ b/lab/cluster/ops_test.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// Programs that don't come up, decline all, fall after a while or don't heed SIGTERM: each release halts by itself, with
-// the reason, and goes back.
+// Programs that don't come up, decline all or fall after a while: each release halts by itself, with the reason, and goes
+// back.
 func TestBadReleasesGoBack(t *testing.T) {
 	for _, x := range []struct {
 		bug, why string
--- a/lab/live/minded.go
+++ b/lab/live/minded.go
@@ -157,14 +157,7 @@
 	}
 }
 
-// fallen marks that a scheduler is out through a fault, till it serves again.
-func (n *node) fallen() {
-	n.mu.Lock()
-	n.fell = true
-	n.mu.Unlock()
-}
-
-// Standing is how a scheduler or worker stands by the lab's own look.
+// Standing is how a scheduler stands by the lab's own look.
 type Standing struct {
 	ID, Zone string
 	Out      bool // it does not serve
@@ -200,17 +193,6 @@
 	return all
 }
 
-// Boxes is how all workers stand now: one that is down or cold is out; Fell is for the caller to know.
-func (f *Fleet) Boxes() (all []Standing) {
-	for _, b := range f.w.boxes {
-		b.mu.Lock()
-		out := !b.up || b.m.Start > 0 && b.clock()-b.m.Start < float64(f.w.p.Cold.For)
-		b.mu.Unlock()
-		all = append(all, Standing{ID: b.Name, Zone: f.w.p.Zones()[b.Zone], Out: out})
-	}
-	return all
-}
-
 // Bad has so large a part of all workers' answers fail, from now on.
 func (f *Fleet) Bad(part float64) {
 	for _, b := range f.w.boxes {
