A client that has left gets no attempt, also where the loop has yet to read its end

Seen: `lane.may` goes by what the loop has read. Ruled out: the loop's own reading: gnet handles an end only in the order in which sockets became ready. At fault: scheduler/pool.go, `send` and `may`, which asked nobody. Now `send` asks the client's socket (poll, RDHUP) and closes a connection that has ended, with which its txn is over. One system call an attempt. Tests: TestNoAttemptForAClientThatHasLeft (three crossings), TestTheLastCheckBeforeSending; without the mend all four fail.

--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -183,6 +183,14 @@
 	return err == nil && n > 0
 }
 
+// left tells whether the client has closed its connection or ended its sending. The loop may not have read that yet: it
+// stands behind bytes that are not read, or came while the loop did something else.
+func (c *client) left() bool {
+	fds := []unix.PollFd{{Fd: int32(c.conn.Fd()), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
+
 func (c *client) close() {
 	if c.conn != nil {
 		_ = c.s.loop.Close(c.conn)
--- /dev/null
+++ b/scheduler/live_test.go
@@ -0,0 +1,265 @@
+package scheduler
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// live is a scheduler that serves on loopback sockets, with one worker and a discovery that is down. Its loop can be
+// held, so that what comes meanwhile is there all at once, in the order in which it came.
+type live struct {
+	*Scheduler
+	t       *testing.T
+	addr    string
+	stop    context.CancelFunc
+	ended   chan error
+	workers net.Listener
+	calls   chan *workerCall
+}
+
+// workerCall is a request that came to the worker.
+type workerCall struct {
+	conn net.Conn
+	ref  string
+}
+
+const livePatience = 20 * time.Second
+
+// newLive starts one; more replaces keys of its configuration.
+func newLive(t *testing.T, more string) *live {
+	t.Helper()
+	v := &live{t: t, calls: make(chan *workerCall, 1000), ended: make(chan error, 1)}
+	var err error
+	if v.workers, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { v.workers.Close() })
+	go v.work()
+	down, err := net.Listen("tcp", "127.0.0.1:0") // has an address, where nobody listens once it is closed
+	if err != nil {
+		t.Fatal(err)
+	}
+	down.Close()
+	n, err := Parse(fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1",%s
+"known":{"seq":1,"whole":true,"hosts":[{"host":"w1","dial":%q,"site":"z","class":"k","block":0,"health":"in_service",
+"share":1,"born_ms":0}]},"settings":{"my_number":0,"peers_total":1,"tick":1000,"zones":["z"],"kinds":["k"],
+"domain":{"tells_start":true},"guarantees":{"must_ask_in":60000000},
+"policy_limits":{"cancel":true,"max_postings":6,"conn_idle":10000000,"connect_timeout":5000000},"schemes":[
+{"name":"look","effect":"retryable","expiry":2000000,"gain":1,"sla_time":1500000,"tardy_gain":0.2},
+{"name":"buy","effect":"fragile","expiry":2000000,"gain":1,"sla_time":1500000,"tardy_gain":0.2}]}}`,
+		down.Addr(), more, v.workers.Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := io.Discard
+	if testing.Verbose() {
+		out = os.Stderr
+	}
+	v.Scheduler = New(n, log.New(out, "", log.Lmicroseconds))
+	ctx, stop := context.WithCancel(context.Background())
+	v.stop = stop
+	go func() { v.ended <- v.Run(ctx) }()
+	<-v.ready
+	if v.addr, err = v.bound("tcp", n.Listen); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return v
+}
+
+// work takes what comes to the worker; the test answers it.
+func (v *live) work() {
+	for {
+		conn, err := v.workers.Accept()
+		if err != nil {
+			return
+		}
+		v.t.Cleanup(func() { conn.Close() })
+		go func() {
+			for in := bufio.NewReader(conn); ; {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				v.calls <- &workerCall{conn, r.Header.Get("Request-Id")}
+			}
+		}()
+	}
+}
+
+// settle answers as a worker does that has done the job, with bytes that need be read only once.
+func (c *workerCall) settle() {
+	line := fmt.Sprintf("{\"id\":%q,\"state\":\"done\",\"result\":\"ok %s\"}\n", c.ref, c.ref)
+	fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line), line)
+}
+
+// call waits for a request at the worker.
+func (v *live) call() *workerCall {
+	v.t.Helper()
+	select {
+	case c := <-v.calls:
+		return c
+	case <-time.After(livePatience):
+		v.t.Fatal("nothing came to the worker")
+		return nil
+	}
+}
+
+// hold keeps the loop from all else until the test lets it go on.
+func (v *live) hold() (release func()) {
+	held, on := make(chan struct{}), make(chan struct{})
+	v.onLoop(func() {
+		close(held)
+		<-on
+	})
+	<-held
+	release = sync.OnceFunc(func() { close(on) })
+	v.t.Cleanup(release)
+	return release
+}
+
+// look looks at the scheduler's state on its loop.
+func look[T any](v *live, f func() T) T {
+	out := make(chan T, 1)
+	v.onLoop(func() { out <- f() })
+	return <-out
+}
+
+// until waits for a state of the scheduler.
+func (v *live) until(what string, f func() bool) {
+	v.t.Helper()
+	for end := time.Now().Add(livePatience); !look(v, f); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			v.t.Fatal("it never came to this: " + what)
+		}
+	}
+}
+
+func request(scheme, ref string) string {
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nWork-Hint: 1000\r\nContent-Length: 4\r\n\r\nbody", scheme, ref)
+}
+
+// client connects as a client does, and sends this.
+func (v *live) client(text string) *net.TCPConn {
+	v.t.Helper()
+	c, err := net.Dial("tcp", v.addr)
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	v.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(livePatience))
+	io.WriteString(c, text)
+	return c.(*net.TCPConn)
+}
+
+// acked waits until the scheduler's machine has all that was sent on a connection, its end too where there is one.
+func acked(t *testing.T, c *net.TCPConn, ended bool) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const finWait2 = 5
+	for end := time.Now().Add(livePatience); ; time.Sleep(100 * time.Microsecond) {
+		left, state := 0, uint8(0)
+		raw.Control(func(fd uintptr) {
+			left, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				state = info.State
+			}
+		})
+		if left == 0 && (!ended || state == finWait2) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the other side does not acknowledge")
+		}
+	}
+}
+
+// leave closes a client's connection, and waits until the scheduler's machine knows.
+func (v *live) leave(c *net.TCPConn) {
+	v.t.Helper()
+	c.CloseWrite()
+	acked(v.t, c, true)
+}
+
+// answers reads one answer, which must be this.
+func (v *live) answers(c *net.TCPConn, status int, body string) {
+	v.t.Helper()
+	w, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		v.t.Errorf("no answer: %v", err)
+		return
+	}
+	got, err := io.ReadAll(w.Body)
+	if err != nil || w.StatusCode != status || !strings.Contains(string(got), body) {
+		v.t.Errorf("got %d %q %v, want %d %q", w.StatusCode, got, err, status, body)
+	}
+}
+
+// A client that has left gets no attempt, also where the loop has yet to read that it left: its end came together with
+// its bytes, or right behind what made its attempt possible. (Each was sent on, as only what the loop had read counted.)
+func TestNoAttemptForAClientThatHasLeft(t *testing.T) {
+	for name, cross := range map[string]func(v *live, release func()){
+		"its request and its end come together": func(v *live, release func()) {
+			v.leave(v.client(request("look", "gone")))
+		},
+		"it leaves as a worker gets free": func(v *live, release func()) {
+			release()
+			first := v.client(request("look", "first"))
+			c := v.call()
+			second := v.client(request("look", "gone"))
+			v.until("the second waits", func() bool { return len(v.drive.txns) == 2 })
+			release = v.hold()
+			c.settle()
+			acked(v.t, c.conn.(*net.TCPConn), false)
+			v.leave(second)
+			release()
+			v.answers(first, 200, "ok first")
+		},
+		"it sent another request ahead of the first one's answer": func(v *live, release func()) {
+			release()
+			one := v.client(request("look", "first") + request("look", "gone"))
+			c := v.call()
+			release = v.hold()
+			c.settle()
+			acked(v.t, c.conn.(*net.TCPConn), false)
+			v.leave(one)
+			release()
+			v.answers(one, 200, "ok first")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := newLive(t, "")
+			warm := v.client(request("look", "warm")) // leaves a connection to the worker, on which an attempt goes out at once
+			v.call().settle()
+			v.answers(warm, 200, "ok warm")
+			release := v.hold()
+			cross(v, release)
+			release()
+			v.until("its txn is over", func() bool { return len(v.drive.txns) == 0 })
+			last := v.client(request("look", "last"))
+			if c := v.call(); c.ref != "last" {
+				t.Errorf("%s was sent on", c.ref)
+			} else {
+				c.settle()
+				v.answers(last, 200, "ok last")
+			}
+		})
+	}
+}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -305,7 +305,10 @@
 
 // send writes the request. Nothing is ever sent again without the module asking for it.
 func (l *lane) send() {
-	if !l.may(l.s.now()) {
+	if p := l.p; p != nil && p.t.from != nil && p.t.from.left() {
+		p.t.from.close() // with it its txn is over, and the module may call this posting off
+	}
+	if l.p == nil && !l.probing || !l.may(l.s.now()) {
 		l.end(balance.NeverSent)
 		l.rest()
 		return
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -11,6 +11,7 @@
 	"testing/quick"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"shalebeam/balance"
 	"shalebeam/watch"
@@ -25,6 +26,7 @@
 	unsent int
 	wrote  string
 	ended  bool
+	sock   int // a socket of the system, where there is one
 }
 
 func (c *fakeConn) OutboundBuffered() int    { return c.unsent }
@@ -33,7 +35,12 @@
 	c.in = c.in[n:]
 	return n, nil
 }
-func (c *fakeConn) Fd() int              { return -1 }
+func (c *fakeConn) Fd() int {
+	if c.sock == 0 {
+		return -1
+	}
+	return c.sock
+}
 func (c *fakeConn) InboundBuffered() int { return len(c.in) }
 func (c *fakeConn) Write(b []byte) (int, error) {
 	c.wrote += string(b)
@@ -117,6 +124,18 @@
 		"staff took it out":              func(s *Scheduler, l *lane) { s.ops.staffed["w1"] = record{Since: 1} },
 		"the txn's window is over":       func(s *Scheduler, l *lane) { l.p.by = s.now() - 1 },
 		"the list counts no more":        func(s *Scheduler, l *lane) { s.roster.watch = watch.New(s.now()-2, 1) },
+		"its client has left, unread": func(s *Scheduler, l *lane) {
+			pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { unix.Close(pair[0]) })
+			c := &client{s: s, t: l.p.t}
+			conn := &fakeConn{of: c, sock: pair[0]}
+			s.clients.add(c, conn)
+			l.p.t.from = c
+			unix.Close(pair[1])
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, l := onceOnly(t)
