A change counts as told 6 s after discovery had it; a new process waits for discovery

Ruled out: silence, moved addresses, the last check before the first byte (all sends were allowed by `Relies`). At fault: watch.New (a list counted for the time for asking from the start), Sent and Failed (the same from the last call, also one that failed), balance's first turn (up to 8 s after the start). Now: package watch reckons 6 s from the last moment of which it is known that nothing is missed; a refused connection, or statuses that can't come of too many callers, show that discovery is down, and the list counts on. A new process calls at once and posts nothing before an answer, or that; /_health says 503 till then, 5 s at most. While a list counts, further calls come in time to be answered before it ceases. Changed: TestTxnGoesThroughUnchanged asked for a 200 of /_health at once, which now means a list that counts; it waits for that. The stage's discovery answers unless a test has it down.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -164,8 +164,13 @@
 	wait, part := watchFirst*float64(int(1)<<s.watchBad)*1.5, (1+float64(s.chance()%1024)/1024)/2
 	// Where the list counts no more all work waits for this.
 	wait = max(min(wait, max(s.listTill-now, 6*watchFirst)), s.watchRound())
-	if s.watchBad == 1 {
-		wait, part = min(wait, max(s.listTill-now-watchAnswer, 0)), s.myPart()
+	if left := s.listTill - now - watchAnswer; left > 0 {
+		// While it counts, an answer in time spares that. The first call may fail, and leaves time for another.
+		if wait = min(wait, left); s.watchBad == 1 {
+			if part = s.myPart(); left > watchAnswer {
+				wait = min(wait, left-watchAnswer)
+			}
+		}
 	}
 	s.watchAt = now + wait*part
 }
--- a/balance/known.go
+++ b/balance/known.go
@@ -162,8 +162,10 @@
 		s.born = now
 		// What this scheduler sent before its own restart is forgotten, and still counts.
 		s.coldAt = max(s.coldAt, now+s.terms.Fall)
-		// There is a list to begin with: the watch can wait for this scheduler's turn.
-		s.watchAt = now + s.watchRound()*s.myPart()
+		if s.listTill > now {
+			// There is a list to begin with that counts: the watch can wait for this scheduler's turn.
+			s.watchAt = now + s.watchRound()*s.myPart()
+		}
 	}
 }
 
--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -106,6 +106,7 @@
 	list    []byte // what discovery answers; nil: it is down
 	seq     int
 	changed chan struct{}
+	down    bool // at the start; else what the scheduler begins with is the list, where the test tells none
 }
 
 func serveHTTP(t *testing.T, h http.HandlerFunc) string {
@@ -275,6 +276,11 @@
 	if s.path == "" {
 		s.path = s.config(known, more)
 	}
+	s.mu.Lock()
+	if s.list == nil && !s.down {
+		s.seq, s.list = 1, known
+	}
+	s.mu.Unlock()
 	s.cmd.Env = append(s.cmd.Env, "BALANCER_CONFIG="+s.path)
 	out, err := s.cmd.StderrPipe()
 	if err != nil {
--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -19,9 +19,7 @@
 	t.Parallel()
 	s := newStage(t)
 	s.start(members(1, true, s.worker("w1")), nil)
-	if w, err := http.Get("http://" + s.addr + "/_health"); err != nil || w.StatusCode != 200 {
-		t.Fatal(w, err)
-	}
+	s.healthy()
 	c := s.ask("/look/a%20b?c=d", "r1", "Idempotency-Key", "k1", "Content-Type", "x/y")
 	p := s.call()
 	h := p.r.Header
@@ -358,7 +356,8 @@
 func TestDiscoveryDownOrMad(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
-	s.start(members(1, true, s.worker("w1")), nil) // discovery answers 503
+	s.down = true // it answers 503
+	s.start(members(1, true, s.worker("w1")), nil)
 	s.told(1)
 	s.serves()
 	s.tell(2, []byte(`{"seq":"x"`))
--- a/cmd/shalebeam/told_test.go
+++ b/cmd/shalebeam/told_test.go
@@ -143,6 +143,53 @@
 	s.serves()
 }
 
+// What the process before missed counts as told already: a new one posts nothing by the list that it begins with, and does
+// not call itself ready, until discovery has answered. (A zone's schedulers that came back after 18 s posted to workers that
+// had gone 16 s before.)
+func TestANewProcessWaitsForDiscovery(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	w1, w2 := s.worker("w1"), s.worker("w2")
+	s.tell(2, members(2, true, w2))
+	called, answer := make(chan bool, 10), make(chan bool)
+	s.start(members(1, true, w1, w2), map[string]any{"discovery": serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		called <- true
+		<-answer
+		s.discovery(w, r)
+	})})
+	within(t, called, "a call at once")
+	c := s.ask("/look", "r1")
+	w, err := http.Get("http://" + s.addr + "/_health")
+	if err != nil || w.StatusCode != 503 {
+		t.Errorf("health: %v %v", w, err)
+	}
+	if len(s.calls) > 0 {
+		t.Error("posted by an old list")
+	}
+	close(answer)
+	if to := s.settles(c, "ok"); !slices.Equal(to, []string{"w2"}) {
+		t.Errorf("posted to %v", to)
+	}
+	s.healthy()
+}
+
+// While nobody listens at discovery's address there is no news, and a scheduler goes on by the list that it has, also one
+// that begins then.
+func TestServesWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	_, addr := bound(t)
+	from := time.Now()
+	s.start(members(1, true, s.worker("w1")), map[string]any{"discovery": addr})
+	s.healthy()
+	s.serves()
+	time.Sleep(time.Until(from.Add(tellingTime + time.Second)))
+	s.serves()
+	if took := time.Since(from); took > 10*time.Second {
+		t.Errorf("ready and serving after %v", took)
+	}
+}
+
 // What can't be read of a list concerns its workers alone: nothing new goes to them, the rest holds, and one line is
 // logged.
 func TestABadListConcernsItsWorkersAlone(t *testing.T) {
--- a/lab/audit/told.go
+++ b/lab/audit/told.go
@@ -6,8 +6,9 @@
 // which it does, have no part in it. A change counts when discovery has written it. One that a watch missed since it
 // fell silent counts 6 s after that, or 2 s after the wait of its call if that is later; one that discovery has when
 // a scheduler is told of a new address 4 s after that; in both cases all that changes from then on counts at once,
-// until an answer is written. One that is made while there is no watch counts after the settings' time for asking,
-// from when it was made or from the last call if that is later, and while discovery is down not at all.
+// until an answer is written. One that a scheduler without a watch has not been told, also one from before its process
+// began, counts after the settings' time for asking, from when it was made or from the last call if that is later, and 6 s
+// after it was made in any case; while discovery is down not at all, and counted anew when it is back.
 const (
 	silentFor  = 6000.0
 	afterAWait = 2000.0
@@ -94,7 +95,8 @@
 		if e.lost >= 0 && at >= max(e.lost, all[i].at) {
 			return all[i], max(e.lost, all[i].at), true
 		}
-		if told := max(all[i].at, e.asked, a.backAt) + a.terms.MustAsk; a.terms.MustAsk > 0 && !e.on && !a.down && at >= told {
+		told := min(max(all[i].at, e.asked, a.backAt)+a.terms.MustAsk, max(all[i].at, a.backAt)+silentFor)
+		if a.terms.MustAsk > 0 && !e.on && !a.down && at >= told {
 			return all[i], told, true
 		}
 	}
--- a/lab/sim/discovery.go
+++ b/lab/sim/discovery.go
@@ -175,12 +175,12 @@
 	l = &line{s: s, gen: s.gen}
 	s.line = l
 	if d.w.net.cut(s.part(), script.Part{Kind: "discovery"}) {
-		d.w.after(float64(d.w.p.Schedulers.Dial), func() { d.fail(l, false) })
+		d.w.after(float64(d.w.p.Schedulers.Dial), func() { d.fail(l, watch.Broken) })
 		return
 	}
 	d.w.net.send(s.part(), script.Part{Kind: "discovery"}, l.lives, func() {
 		if d.down {
-			d.refuse(l)
+			d.refuse(l, watch.Refused)
 			return
 		}
 		d.w.net.send(script.Part{Kind: "discovery"}, s.part(), l.lives, func() {
@@ -200,10 +200,10 @@
 		switch {
 		case l.mute:
 		case d.down:
-			d.refuse(l)
+			d.refuse(l, watch.TurnedAway)
 		case !l.on:
 			if at := d.queue(true, d.news(l)); at > d.w.now+callFor {
-				d.w.after(callFor, func() { d.refuse(l) })
+				d.w.after(callFor, func() { d.refuse(l, watch.TurnedAway) })
 			} else {
 				d.w.at(at, func() { d.answer(l, no) })
 			}
@@ -288,20 +288,20 @@
 }
 
 // refuse ends a connection from discovery's side. What was written before comes before.
-func (d *discovery) refuse(l *line) {
+func (d *discovery) refuse(l *line, how watch.Failure) {
 	if l.lives() {
 		d.w.net.send(script.Part{Kind: "discovery"}, l.s.part(), l.lives, func() {
 			if l.flying {
-				d.refuse(l)
+				d.refuse(l, how)
 			} else {
-				d.fail(l, true)
+				d.fail(l, how)
 			}
 		})
 	}
 }
 
 // fail tells a scheduler that its connection is no more.
-func (d *discovery) fail(l *line, refused bool) {
+func (d *discovery) fail(l *line, how watch.Failure) {
 	if !l.lives() {
 		return
 	}
@@ -314,7 +314,10 @@
 	}
 	l.s.line = nil
 	d.w.audit.Unwatched(l.s.name)
-	l.s.watch.Failed(l.s.clock(), refused && !l.reset)
+	if l.reset {
+		how = watch.Broken
+	}
+	l.s.watch.Failed(l.s.clock(), how)
 	l.s.follow()
 	l.s.pull()
 }
@@ -400,7 +403,7 @@
 	s.watch.Went(s.clock())
 	if l := s.line; l != nil {
 		l.former = true
-		d.w.after(formerFor, func() { d.fail(l, true) })
+		d.w.after(formerFor, func() { d.fail(l, watch.TurnedAway) })
 	}
 	s.follow()
 	s.pull()
@@ -417,7 +420,7 @@
 			s.queued = false
 			if l := s.line; s.alive && l != nil && !l.mute {
 				l.on = false // discovery has ended its watch, which no more can fall silent
-				d.refuse(l)
+				d.refuse(l, watch.TurnedAway)
 			}
 		}
 	case a.Do == "down":
--- a/lab/sim/procs.go
+++ b/lab/sim/procs.go
@@ -95,9 +95,9 @@
 	s.gen++
 	s.alive, s.stopping, s.line, s.aside, s.queued = true, false, nil, nil, false
 	s.stopBy, s.timer, s.watchAt = math.Inf(1), math.Inf(1), math.Inf(1)
-	s.watch = watch.New(math.Inf(1), 0)
+	s.watch = watch.New(math.Inf(1), 0, 0)
 	if s.w.p.Discovery.Mode != "push" {
-		s.watch = watch.New(s.clock(), float64(s.w.p.Discovery.MustAsk))
+		s.watch = watch.New(s.clock(), float64(s.w.p.Discovery.MustAsk), watch.EachCall*float64(s.w.p.Schedulers.Count))
 	}
 	s.watch.Began(int64(s.known))
 	s.txns, s.conns, s.state = map[string]*taken{}, map[int]conn{}, map[int]balance.State{}
@@ -106,8 +106,8 @@
 	}
 	s.w.audit.Hears(s.w.now, s.name, s.known)
 	s.w.hears(s.w.now, s, s.w.disc.as(s.known))
+	s.follow() // from what its list counts as to begin with
 	s.list(s.w.disc.as(s.known), true)
-	s.follow()
 	for _, id := range slices.Sorted(maps.Keys(s.w.out)) {
 		if s.w.out[id] > 0 {
 			s.staff(id, true) // it keeps that over its ends
@@ -609,7 +609,7 @@
 	case a.Do == "unwatch" && a.Begin:
 		if s.line != nil {
 			s.line.reset = s.line.on
-			s.w.disc.refuse(s.line)
+			s.w.disc.refuse(s.line, watch.TurnedAway)
 		}
 	case a.Do == "move" && a.Begin:
 		s.w.disc.move(s)
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -276,6 +276,8 @@
 			c.answer(405, "GET only\n", -1)
 		case c.s.phase != serving:
 			c.answer(503, c.s.phase.String()+"\n", -1)
+		case !c.s.roster.ready(c.s.now()):
+			c.answer(503, "waits for discovery\n", -1)
 		default:
 			c.answer(200, "serving\n", -1)
 		}
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -61,6 +61,7 @@
 	wall    float64 // at origin, Unix time in milliseconds
 	drainBy float64
 	drained float64 // when the drain began
+	began   float64 // when it began to take clients
 
 	clients clients
 	pool    pool
@@ -206,6 +207,7 @@
 	s.loop = loop
 	close(s.ready)
 	s.first.Close()
+	s.began = s.now()
 	s.roster.begin()
 	s.enter(serving)
 	s.handover.serves()
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"net/netip"
 	"slices"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"shalebeam/balance"
 	"shalebeam/http1"
@@ -30,9 +30,17 @@
 	link    *link // nil while there is none
 	aside   *link // the one before, which may be only late
 	failed  bool  // the last watch failed, and that is logged
-	unheard bool  // the list may be relied on no more, and that is logged
+	unheard bool  // the list may not be relied on, and where it could be that is logged
+	counted bool  // it could be once
 }
 
+// readyFor is how long a new process waits for a list that counts, until it says that it serves in any case: a front
+// takes in nobody else in its place, and what it can't post it declines.
+const readyFor = 5000.0
+
+// ready tells whether there is, or was, a list by which to post, or none came for long.
+func (r *roster) ready(now float64) bool { return r.counted || now > r.s.began+readyFor }
+
 // link is a connection to discovery, made or still to be. Of one that is not the roster's any more, as after
 // a failed call or a new address, nothing is heard.
 type link struct {
@@ -65,12 +73,12 @@
 	"terminated": balance.Removed}
 
 func (r *roster) init(s *Scheduler) {
-	*r = roster{s: s, addr: s.node.Discovery, watch: watch.New(math.Inf(1), 0)}
+	*r = roster{s: s, addr: s.node.Discovery, watch: watch.New(math.Inf(1), 0, 0)}
 }
 
 // begin takes the list that the configuration brought.
 func (r *roster) begin() {
-	r.watch = watch.New(r.s.now(), r.s.node.told.Terms.AskIn)
+	r.watch = watch.New(r.s.now(), r.s.node.told.Terms.AskIn, watch.EachCall*float64(r.s.node.told.Terms.Peers))
 	r.pull()
 	if len(r.s.node.Known) == 0 {
 		return
@@ -169,14 +177,24 @@
 
 func (n no) Error() string { return fmt.Sprintf("status %d", int(n)) }
 
+// ended is the end of a connection that nobody here closed.
+type ended struct{ error }
+
+// failure tells what the end of a call says of discovery.
+func (l *link) failure(err error) watch.Failure {
+	var said no
+	var end ended
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		return watch.Refused
+	case errors.As(err, &said), errors.As(err, &end) && l.r.watch.State() == watch.First:
+		return watch.TurnedAway
+	}
+	return watch.Broken // a watch that is reset may have been silent before, and who writes what can't be read is there
+}
+
 // fail takes that a call came to nothing, and its connection with it.
 func (l *link) fail(err error) {
-	var late net.Error
-	var said no
-	refused := errors.As(err, &said) // on an open watch; before there is one any end that comes is a no
-	if l.r.watch.State() == watch.First {
-		refused = !(errors.As(err, &late) && late.Timeout()) // else the connection never came up
-	}
 	r := l.r
 	if r.aside == l {
 		r.aside = nil
@@ -184,10 +202,11 @@
 	if r.link != l {
 		return
 	}
+	how := l.failure(err)
 	r.hangUp()
 	r.failed = true
-	r.s.log.Printf("msg=discovery state=failed err=%q", err)
-	r.watch.Failed(r.s.now(), refused)
+	r.watch.Failed(r.s.now(), how)
+	r.s.log.Printf("msg=discovery state=failed err=%q counts_ms=%.0f", err, max(r.watch.Till()-r.s.now(), 0))
 	r.pull()
 }
 
@@ -206,7 +225,7 @@
 	if err == nil {
 		err = fmt.Errorf("connection ended")
 	}
-	l.fail(err)
+	l.fail(ended{err})
 }
 
 func (l *link) traffic(c gnet.Conn) {
@@ -355,12 +374,10 @@
 
 // sweep sees to what is due by now.
 func (r *roster) sweep(now float64) {
-	if was := r.unheard; now >= r.watch.Till() {
-		if r.unheard = true; !was {
-			r.s.log.Printf("msg=discovery state=unheard note=\"nothing is posted until it answers\"")
-		}
-	} else {
-		r.unheard = false
+	if was := r.unheard; now < r.watch.Till() {
+		r.unheard, r.counted = false, true
+	} else if r.unheard = true; !was && r.counted {
+		r.s.log.Printf("msg=discovery state=unheard note=\"nothing is posted until it answers\"")
 	}
 	if now < r.watch.Wake() {
 		return
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -12,17 +12,20 @@
 )
 
 const (
-	// What a watch misses after it fell silent counts as told so long after, whether or not it arrived, and
-	// what discovery at a new address has to tell so long after that was told.
-	SilentFor = 6000.0
-	MovedFor  = 4000.0
+	// A change counts as told so long after discovery had it and could be reached, whether or not it arrived and
+	// whatever calls failed meanwhile, and what discovery at a new address has to tell so long after that was told.
+	ToldIn   = 6000.0
+	MovedFor = 4000.0
+	// EachCall is how long discovery may take for each scheduler's call where many call.
+	EachCall = 100.0
 	// Of that time a third may pass until the silence is noticed, a third while all schedulers ask in turn, and
 	// a third until discovery, which then turns a call away, has answered.
-	waitMost  = SilentFor / 3
-	lateBy    = SilentFor / 24 // for an answer on a watch that was due, and twice as long as the last one was late
-	lateMost  = SilentFor / 6
-	answerFor = SilentFor/3 + 500.0 // for any other: discovery's own end of a call comes first
-	soonGap   = 100.0               // well below the 200 ms in which a watch must go on
+	waitMost  = ToldIn / 3
+	lateBy    = ToldIn / 24 // for an answer on a watch that was due, and twice as long as the last one was late
+	lateMost  = ToldIn / 6
+	answerFor = ToldIn/3 + 500.0 // for any other: discovery's own end of a call comes first
+	crowdFor  = 3.0              // so many times what it takes to hear all of them in turn a crowd of callers may last
+	soonGap   = 100.0            // well below the 200 ms in which a watch must go on
 )
 
 // State is how the watch stands.
@@ -38,6 +41,25 @@
 
 func (s State) String() string { return [...]string{"none", "first", "on", "doubted", "moved"}[s] }
 
+// Failure is how a call came to nothing.
+type Failure int
+
+const (
+	Broken     Failure = iota // its connection broke, or never came up, which says nothing of discovery itself
+	TurnedAway                // discovery answered with a no, or ended a first call: it is down, or has too many callers
+	Refused                   // nobody listens there: discovery is down
+)
+
+// turns is how discovery turns calls away.
+type turns int
+
+const (
+	none turns = iota // it does not
+	gone              // nobody listens
+	atOnce
+	late // after a wait
+)
+
 // Call is one to make: for what is newer than a version, or for the whole list where that is below 0. It may
 // wait so long for news.
 type Call struct {
@@ -47,7 +69,7 @@
 
 // Watch follows one list.
 type Watch struct {
-	askIn              float64
+	askIn, all         float64
 	state              State
 	seq                int64   // the version of the list it has; below 0: all is to be asked for
 	call               Call    // the last one
@@ -62,15 +84,18 @@
 	hangUp             bool
 	missed             bool    // since the last answer: a watch fell silent, or discovery moved
 	till               float64 // when what may have been missed counts as told
-	reset              float64 // the same of one that was reset, and may have been silent before
-	heard              float64 // when the last answer came
+	down               bool    // by the failures since the last answer discovery is down, so that no news is missed
+	turns              turns   // how it turned away the last first call
+	turnsAt            float64 // the first one of those that it has turned away so on end
 	late               float64 // by how much one came late that had waited to its end
 	told               []bool  // what the module is yet to be told
 }
 
-// New is the watch of a scheduler that begins now; askIn is the settings' time for asking.
-func New(now, askIn float64) *Watch {
-	w := &Watch{askIn: askIn, till: now + askIn, seq: -1, reset: math.Inf(1)}
+// New is the watch of a scheduler that begins now; askIn is the settings' time for asking, and all is how long it takes
+// discovery to hear all schedulers in turn. The list that it begins with
+// is as old as the process before it, and what that has missed since may count as told already: it is not relied on.
+func New(now, askIn, all float64) *Watch {
+	w := &Watch{askIn: askIn, all: all, till: now, seq: -1}
 	w.rest(None)
 	return w
 }
@@ -85,7 +110,7 @@
 func (w *Watch) State() State { return w.state }
 
 // Till is until when the list may be relied on. Later a worker may drain that it still shows in service.
-func (w *Watch) Till() float64 { return min(w.till, w.reset) }
+func (w *Watch) Till() float64 { return w.till }
 
 // ---- what happens ----
 
@@ -108,9 +133,7 @@
 // Sent tells that the call was written, which may have waited for its connection.
 func (w *Watch) Sent(now float64) {
 	w.next(now, w.call.Wait)
-	if w.due = false; w.state == First {
-		w.rely(now+w.askIn, false)
-	}
+	w.due = false
 }
 
 // Fits tells whether a list may be taken: a part only of the version that was asked from, and none older than
@@ -137,10 +160,10 @@
 			return
 		}
 	} else {
-		w.state, w.missed, w.heard, w.reset = On, false, now, math.Inf(1)
+		w.state, w.missed, w.down, w.turns = On, false, false, none
 		w.took(now, news)
 		w.besides = w.besides && !w.elsewhere
-		w.rely(now+SilentFor, false)
+		w.rely(now+ToldIn, false)
 		w.told = append(w.told, true)
 	}
 	if !news && now < w.called+w.call.Wait/2 {
@@ -170,18 +193,11 @@
 	}
 }
 
-// Failed tells that a call came to nothing: reset, turned away, or answered with what can't be read. Its
-// connection is gone. Refused tells that it was a no: of discovery itself on an open watch, which then was not
-// silent, or also of its machine where there was none yet.
-func (w *Watch) Failed(now float64, refused bool) {
+// Failed tells that a call came to nothing. Its connection is gone.
+func (w *Watch) Failed(now float64, how Failure) {
 	switch w.state {
 	case First, On:
-		w.rely(w.called+w.askIn, false) // without a watch the list counts for so long from the last call
-		if w.state == On && !refused {
-			w.reset = w.heard + SilentFor // where a cut ended, the watch had been silent
-		} else if refused && now < w.called+answerFor/2 {
-			w.reset = math.Inf(1) // a no at once: discovery is down, and so its watches ended
-		}
+		w.fails(now, how)
 		w.told = append(w.told, false)
 		w.rest(None)
 	case Doubted:
@@ -192,6 +208,45 @@
 	}
 }
 
+// fails takes what a failure says of discovery. While that is down there is no news, and the list counts on from one
+// call to the next; any other failure leaves it as old as it was.
+func (w *Watch) fails(now float64, how Failure) {
+	since := w.called
+	switch {
+	case how == Broken:
+		w.turns = none
+		return
+	case how == Refused:
+		w.down, w.turns = true, gone
+	case w.state == On:
+		w.down, w.turns, since = true, none, now // it ended the watch itself, which was not silent till then
+	default:
+		if !w.turnedAway(now) {
+			return
+		}
+	}
+	if w.down {
+		w.rely(max(w.till, min(since+ToldIn, w.called+w.askIn)), false)
+	}
+}
+
+// turnedAway takes that a first call was turned away, and tells whether that shows discovery to be down. One that has too
+// many callers turns calls away too: after a break all call within a short time, and again in longer rounds.
+func (w *Watch) turnedAway(now float64) bool {
+	turns := atOnce
+	if now > w.called+answerFor/2 {
+		turns = late
+	}
+	if turns == w.turns {
+		w.down = w.down || w.called >= w.turnsAt+answerFor+crowdFor*w.all
+		return true
+	}
+	// Otherwise than before it may have been back meanwhile.
+	w.down = w.down && w.turns == none
+	w.turns, w.turnsAt = turns, w.called
+	return w.all <= ToldIn-waitMost // more schedulers call sooner than it may be able to answer
+}
+
 // Went tells that discovery is at another address from now on. It is asked for all of the list, by all
 // schedulers together, so that each waits for its turn.
 func (w *Watch) Went(now float64) {
@@ -220,7 +275,7 @@
 	}
 	switch w.state {
 	case First:
-		w.rely(w.called+min(SilentFor, w.askIn), true) // it may have been on, and fallen silent
+		w.rely(w.till, true) // it may have been on, and fallen silent
 		w.hangUp, w.told = true, append(w.told, false)
 		w.rest(None)
 	case On:
