A stop waits for what the system holds; idle connections are ended for writing first

Seen: `settle` went by gnet's buffers. With the loop held at the end of a drain, a request that then came on a resting connection, one on a connection that the system had accepted and gnet had not, and one that came but for its last byte were all reset by the process's end. Ruled out: gnet's own close writes out what it holds; a drain that has open txns waits for them (TestPlannedStop). Now the system is asked what is unread, unacknowledged (SIOCINQ, SIOCOUTQ) and not accepted (TCP_INFO of the listener); a usual client's connection counts until it is gone; an idle one is shut for writing first and read to its end. All within the stop's time as before. Tests: TestAStopLosesNothingThatCameBeforeItsEnd (three crossings), TestWhatCrossesTheEndOfAConnection; all fail without.

--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -150,10 +150,11 @@
 	return out
 }
 
-// busy tells whether any answer is owed or not yet written, or a usual client may still ask for more.
+// busy tells whether any answer is owed, or has yet to reach its client's machine, or bytes have come that the loop has
+// not read, over which the process's end would reset their connection; or a usual client is still there.
 func (cs *clients) busy() bool {
 	for _, c := range cs.all {
-		if c.t != nil || c.begun || c.conn.OutboundBuffered() > 0 || c.used && !c.ends {
+		if c.t != nil || c.begun || c.conn.OutboundBuffered() > 0 || c.used || c.unread() || c.unacked() {
 			return true
 		}
 	}
@@ -183,6 +184,12 @@
 	return err == nil && n > 0
 }
 
+// unacked tells whether the client's machine has yet to get some of what was written.
+func (c *client) unacked() bool {
+	n, err := unix.IoctlGetInt(c.conn.Fd(), unix.SIOCOUTQ)
+	return err == nil && n > 0
+}
+
 // left tells whether the client has closed its connection or ended its sending. The loop may not have read that yet: it
 // stands behind bytes that are not read, or came while the loop did something else.
 func (c *client) left() bool {
@@ -469,7 +476,7 @@
 	if c.conn.OutboundBuffered() > 0 || c.shut {
 		return
 	}
-	c.shut, c.since = true, c.s.now()
+	c.ends, c.shut, c.since = true, true, c.s.now()
 	_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
 }
 
@@ -483,7 +490,7 @@
 		age := now - c.since
 		switch {
 		case c.shut:
-			if age > lingerFor {
+			if age > lingerFor && !c.unread() && !c.unacked() || age > writeFor {
 				c.close()
 			}
 		case c.conn.OutboundBuffered() > 0:
@@ -498,8 +505,10 @@
 				c.answer(408, "request too slow\n", -1)
 			}
 		case age > requestFor && !c.used, age > idleFor, cs.s.leaving(now) && c.used:
+			// Its client may send just now. Closed over what comes the connection would be reset; ended first from
+			// this side, it is read and dropped, and the client sends it elsewhere.
 			if !c.unread() {
-				c.close()
+				c.finish()
 			}
 		}
 	}
--- a/scheduler/live_test.go
+++ b/scheduler/live_test.go
@@ -263,3 +263,98 @@
 		})
 	}
 }
+
+// drains has a scheduler told to stop, and its loop held at a moment at which nothing more is left to do, so that the stop
+// ends as soon as the loop goes on, unless something came meanwhile.
+func (v *live) drains() (release func()) {
+	v.stop()
+	v.until("it drains", func() bool { return v.phase == draining })
+	held, on := make(chan struct{}), make(chan struct{})
+	v.onLoop(func() {
+		v.drained -= drainLeast
+		close(held)
+		<-on
+	})
+	<-held
+	release = sync.OnceFunc(func() { close(on) })
+	v.t.Cleanup(release)
+	return release
+}
+
+// What this machine has taken by the end of a stop is answered, also what the loop has yet to read or to accept. (Both were
+// reset, as only what the loop had read kept the process from its end.)
+func TestAStopLosesNothingThatCameBeforeItsEnd(t *testing.T) {
+	for name, comes := range map[string]func(v *live, resting *net.TCPConn) *net.TCPConn{
+		"on a connection that rests": func(v *live, resting *net.TCPConn) *net.TCPConn {
+			io.WriteString(resting, request("look", "late"))
+			return resting
+		},
+		"on a connection that is not accepted": func(v *live, _ *net.TCPConn) *net.TCPConn {
+			return v.client(request("look", "late"))
+		},
+		"but for its last byte": func(v *live, resting *net.TCPConn) *net.TCPConn {
+			text := request("look", "late")
+			io.WriteString(resting, text[:len(text)-1])
+			time.AfterFunc(100*time.Millisecond, func() { io.WriteString(resting, text[len(text)-1:]) })
+			return resting
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := newLive(t, "")
+			resting := v.client("")
+			v.until("it is accepted", func() bool { return len(v.clients.all) == 1 })
+			release := v.drains()
+			c := comes(v, resting)
+			acked(t, c, false)
+			release()
+			v.call().settle()
+			v.answers(c, 200, "ok late")
+			c.Close()
+			select {
+			case err := <-v.ended:
+				if err != nil {
+					t.Error(err)
+				}
+			case <-time.After(livePatience):
+				t.Error("it does not end")
+			}
+		})
+	}
+}
+
+// A connection that is ended from this side is ended for writing first, and what crosses that is read and dropped: neither
+// sent on nor answered with a reset, which would take the last answer with it. (It was closed.)
+func TestWhatCrossesTheEndOfAConnection(t *testing.T) {
+	t.Parallel()
+	v := newLive(t, "")
+	c := v.client(request("look", "first"))
+	v.call().settle()
+	v.answers(c, 200, "ok first")
+	v.until("its connection rests for long", func() bool {
+		v.clients.all[0].since -= idleFor + 1
+		v.clients.sweep(v.now())
+		return v.clients.all[0].shut
+	})
+	io.WriteString(c, request("look", "late"))
+	acked(t, c, false)
+	if n, err := c.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("read %d, %v", n, err)
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const closeWait = 8 // it was reset otherwise
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err != nil || info.State != closeWait {
+			t.Errorf("state %d, %v", info.State, err)
+		}
+	})
+	v.until("what came is dropped", func() bool { return !v.clients.all[0].unread() })
+	if len(v.calls) > 0 {
+		t.Errorf("%s was sent on", v.call().ref)
+	}
+	c.Close()
+	v.until("the connection is gone", func() bool { return len(v.clients.all) == 0 })
+}
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -278,11 +278,23 @@
 	if s.phase != draining || now < s.drained+drainLeast {
 		return
 	}
-	if len(s.drive.txns) == 0 && !s.clients.busy() || now >= s.drainBy+flushFor {
+	if len(s.drive.txns) == 0 && !s.clients.busy() && !s.knocked() || now >= s.drainBy+flushFor {
 		s.enter(stopped)
 	}
 }
 
+// knocked tells whether connections wait at the clients' address that the loop has not taken: the process's end would
+// reset them, and their machine has taken them and what they bring.
+func (s *Scheduler) knocked() bool {
+	fd, err := s.eng.DupListener("tcp", s.node.Listen)
+	if err != nil {
+		return false
+	}
+	defer unix.Close(fd)
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.Unacked > 0 // of a socket that listens, what waits to be taken
+}
+
 // pull carries out what the module decides after an event, and ends the loop once all is done.
 func (s *Scheduler) pull() gnet.Action {
 	if s.phase != stopped {
