--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -407,6 +407,54 @@
 	}
 }
 
+// coldFleet is so many schedulers that know of one cold worker, at its start.
+func coldFleet(peers int, start float64) (all []*Scheduler) {
+	terms := plainTerms
+	terms.Peers = peers
+	for me := range peers {
+		terms.Me = me
+		s := started(terms, 20)
+		for i := range costsNeeded { // so that a job costs 100 in the mean, a few a good deal more
+			s.keepCost([]float64{40, 40, 70, 250}[i%4])
+		}
+		s.ListChanged(start, false, []Listed{{ID: "fresh", Start: start, Weight: 1}})
+		s.coldAt = 0
+		s.rerank(start)
+		all = append(all, s)
+	}
+	return all
+}
+
+// What all schedulers together send to a cold worker in any time of Fall is at most what the settings allow it then, N jobs
+// of mean work, and 2 roots of N and 2 more for chance, also where each has more to send than it may. (Known red: turns, of
+// which two may meet in a window, have no such bound. docs/design/cold.md.)
+func TestTheSumSentToAColdWorkerIsBounded(t *testing.T) {
+	const start = 1e6
+	for _, peers := range []int{3, 6, 20, 30, 300} {
+		all := coldFleet(peers, start)
+		terms, mean := all[0].terms, 100.0
+		var sent []sending
+		draw := rand.New(rand.NewSource(1))
+		for age := 1.0; age < terms.ColdFor; age += 50 {
+			now := start + age
+			for _, i := range draw.Perm(peers) {
+				s := all[i]
+				w, cost := s.byID["fresh"], []float64{40, 40, 70, 250, 1000}[draw.Intn(5)]
+				for x := (&txn{Txn: Txn{Hint: cost}, cost: cost}); s.warm(now, x, w); {
+					w.sent = append(w.sent, sending{now, cost})
+					sent = append(sent, sending{now, cost})
+				}
+			}
+			sent = slices.DeleteFunc(sent, func(x sending) bool { return now-x.at > terms.Fall })
+			n := terms.FallTimes * all[0].share(age) * terms.Fall / mean // one job at a time is carried, as nothing is known
+			if most := n + 2*math.Sqrt(n) + 2; float64(len(sent)) > most {
+				t.Errorf("%d schedulers: at age %.0f %d jobs in %.0f ms, %.1f are allowed", peers, age, len(sent), terms.Fall, most)
+				break
+			}
+		}
+	}
+}
+
 // A once-only txn can't leave a queue: sent into a long one it was called off late, and lost.
 func TestAmongManyOnceOnlyKeepsOutOfLongQueues(t *testing.T) {
 	terms := plainTerms
