Descriptors are bounded by the system's own limit too, where it is below the configured one

Seen: with `ulimit -n 96` and limits.sockets 256, 82 clients that had asked once and stayed were enough: accept failed ('too many open files'), gnet's loop ended, and with it the process, while discovery was down. Ruled out: the bound on clients itself (TestBoundOnClients, where both limits are alike) and the 32 descriptors kept for discovery and dials, which sufficed. At fault: scheduler/clients.go `sockets`, which went by the configuration alone. Tests: TestIdleClientsFillTheDescriptorsWhileDiscoveryIsDown (fails without: client 82 is reset, the loop ends), a row of TestBadConfiguration. Open: one of about ten runs of the whole package failed, beside the tests of another package, in a test that was not recorded; twelve more whole runs, four at a time, and 72 of these two tests, six at a time, passed.

--- a/cmd/shalebeam/main_test.go
+++ b/cmd/shalebeam/main_test.go
@@ -700,6 +700,49 @@
 	s.healthy()
 }
 
+// Clients that asked once and stay fill the descriptors while nobody listens at discovery's address, also where the system
+// lets the process have fewer than its configuration says: discovery is called all the same, and new clients are served.
+// (At the system's limit the loop ended.)
+func TestIdleClientsFillTheDescriptorsWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.descriptors = 96
+	fd, addr := bound(t)
+	s.start(members(1, true, s.worker("w1")), map[string]any{"discovery": addr})
+	s.healthy()
+	for i := range 150 {
+		c := s.dial(fmt.Sprintf("POST /look HTTP/1.1\r\nHost: a\r\nRequest-Id: i%d\r\nWork-Hint: 1000\r\n\r\n", i))
+		answered := make(chan error, 1)
+		go func() {
+			_, err := http.ReadResponse(bufio.NewReader(c), nil)
+			answered <- err
+		}()
+		for done := false; !done; {
+			select {
+			case p := <-s.calls:
+				p.settle("ok")
+			case err := <-answered:
+				if done = true; err != nil {
+					t.Fatalf("client %d: %v", i, err)
+				}
+			}
+		}
+	}
+	wait := syscall.NsecToTimeval(patience.Nanoseconds())
+	if err := syscall.SetsockoptTimeval(fd, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &wait); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 16); err != nil {
+		t.Fatal(err)
+	}
+	if nfd, _, err := syscall.Accept(fd); err != nil {
+		t.Errorf("discovery is not called: %v", err)
+	} else {
+		syscall.Close(nfd)
+	}
+	s.serves()
+}
+
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
@@ -814,6 +857,12 @@
 		}
 	}
 	good := s.config(members(1, true), nil)
+	few := program("serve", "--config", good)
+	few.Path, few.Args = "/bin/sh", []string{"sh", "-c", fmt.Sprintf("ulimit -n 40; exec %s serve --config %s", os.Args[0], good)}
+	if out, err := few.CombinedOutput(); err == nil || !strings.Contains(string(out), "limits: the system lets") ||
+		strings.Count(string(out), "\n") != 1 {
+		t.Errorf("with 40 descriptors: %v: %s", err, out)
+	}
 	if out, err := program("check", "--config", good).CombinedOutput(); err != nil {
 		t.Errorf("check: %v: %s", err, out)
 	}
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -99,13 +99,19 @@
 	}
 }
 
-// sockets is how many descriptors the process may hold.
+// sockets is how many descriptors the process may hold: by the configuration, and no more than the system lets it have, as
+// gnet's loop ends where one can't be accepted for want of them.
 func (s *Scheduler) sockets() int {
 	n := s.node.Limits.Sockets
 	if n <= 0 {
 		n = socketsUntold
 	}
-	return max(s.handover.part(n), fewestSockets)
+	n = max(s.handover.part(n), fewestSockets)
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err == nil {
+		n = int(min(uint64(n), own.Cur))
+	}
+	return n
 }
 
 func (cs *clients) accept(conn gnet.Conn) {
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -103,6 +103,10 @@
 		<-ctx.Done()
 		return nil
 	}
+	if n := s.sockets(); n < fewestSockets {
+		return fmt.Errorf("limits: the system lets the process have %d descriptors, and %d are the fewest to serve with", n,
+			fewestSockets)
+	}
 	s.handover.enter()
 	s.handover.bound()
 	s.ops.ask()
