An attempt whose time is over is not sent, also where the loop has yet to give it up

Seen: a connection that comes up behind a loop that ran late is told before the expiry of its posting is seen to; the request then went out with 'Request-Timeout: 1m', after its client had stopped waiting. Ruled out: the window for repeats, which the same check already kept. At fault: scheduler/pool.go, `may`: it knew `by`, and not `until`. Test: a row of TestTheLastCheckBeforeSending, which fails without.

--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -134,12 +134,13 @@
 func (o *pool) open(t *target) bool { return t.listed && !o.s.ops.staffed[t.id].out() }
 
 // may tells whether what a connection is for may still be sent. The module decided it, and while the connection
-// was made the worker began to drain, left or moved, or the list ceased to count; or the window in which the
-// txn may go again is over; or it was answered or its client left, which the module does not say where nothing
-// may be called off. All that is sent passes here.
+// was made the worker began to drain, left or moved, or the list ceased to count; or its time, or the window in
+// which the txn may go again, is over, which a loop that ran late has yet to see to; or it was answered or its
+// client left, which the module does not say where nothing may be called off. All that is sent passes here.
 func (l *lane) may(now float64) bool {
 	p := l.p
-	return l.s.pool.open(l.to) && l.addr == l.to.addr && (p == nil || !p.t.over && now <= p.by && now < l.s.roster.watch.Till())
+	return l.s.pool.open(l.to) && l.addr == l.to.addr &&
+		(p == nil || !p.t.over && now <= p.by && now < p.until && now < l.s.roster.watch.Till())
 }
 
 // forget takes workers off the list: those named, or all that are not kept.
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -123,6 +123,7 @@
 		"the worker is at another place": func(s *Scheduler, l *lane) { s.pool.know("w1", "127.0.0.1:4", true) },
 		"staff took it out":              func(s *Scheduler, l *lane) { s.ops.staffed["w1"] = record{Since: 1} },
 		"the txn's window is over":       func(s *Scheduler, l *lane) { l.p.by = s.now() - 1 },
+		"its client's time is over":      func(s *Scheduler, l *lane) { l.p.until = s.now() - 1 },
 		"the list counts no more":        func(s *Scheduler, l *lane) { s.roster.watch = watch.New(s.now()-2, 1, 0) },
 		"its client has left, unread": func(s *Scheduler, l *lane) {
 			pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
