Rename: a connection to a worker is a workerConn, in the scheduler's code

Need: names follow the field's terms. lane -> workerConn, laneState -> workerConnState, posting.lane -> posting.conn, pool.lanes -> pool.conns, lanesMost -> workerConnsMost, bed -> idleElem, resting -> idleConns, rest -> putIdle, woken -> leaveIdle.

--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -89,7 +89,7 @@
 		mb = memoryUntold
 	}
 	cs.room = s.handover.part(mb<<20) / bodyPart
-	cs.most = s.sockets() - ownSockets - s.lanesMost() - s.dialsMost() - spareClients
+	cs.most = s.sockets() - ownSockets - s.workerConnsMost() - s.dialsMost() - spareClients
 	for len(cs.all) > cs.most {
 		out := cs.spare(nil)
 		if out == nil {
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -24,7 +24,7 @@
 type posting struct {
 	t     *txn
 	no    int
-	lane  *lane // nil once it has ended
+	conn  *workerConn // nil once it has ended
 	until float64
 	by    float64 // later than this it is not sent
 }
@@ -80,7 +80,7 @@
 
 // over tells how a posting ended, and settles its txn with the first result.
 func (d *drive) over(p *posting, how balance.Outcome, load balance.Load, result string) {
-	p.lane = nil
+	p.conn = nil
 	d.ended++
 	t := p.t
 	t.out--
@@ -188,10 +188,10 @@
 
 // drop gives up a posting. One whose request was not written whole cannot have run.
 func (d *drive) drop(p *posting, how balance.Outcome) {
-	if p.lane == nil {
+	if p.conn == nil {
 		return
 	}
-	if !p.lane.abandon() {
+	if !p.conn.abandon() {
 		how = balance.NeverSent
 	}
 	d.over(p, how, balance.NoLoad, "")
@@ -222,11 +222,11 @@
 // tidy takes out postings that have ended: at the top, and all of them where they are the most, as expiries may
 // be minutes away and a posting holds its txn's body.
 func (d *drive) tidy() {
-	for len(d.ends) > 0 && d.ends[0].p.lane == nil {
+	for len(d.ends) > 0 && d.ends[0].p.conn == nil {
 		heap.Pop(&d.ends)
 	}
 	if d.ended > len(d.ends)/2 && d.ended > 64 {
-		d.ends = slices.DeleteFunc(d.ends, func(e ending) bool { return e.p.lane == nil })
+		d.ends = slices.DeleteFunc(d.ends, func(e ending) bool { return e.p.conn == nil })
 		heap.Init(&d.ends)
 		d.ended = 0
 	}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -225,7 +225,7 @@
 
 // held is about how many descriptors this process holds.
 func (s *Scheduler) held() int {
-	return ownSockets + len(s.clients.all) + len(s.pool.lanes) + s.pool.dials
+	return ownSockets + len(s.clients.all) + len(s.pool.conns) + s.pool.dials
 }
 
 // drains takes that this process takes no more clients than come by themselves.
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -80,8 +80,8 @@
 		return false
 	}
 	for _, p := range t.posts {
-		if l := p.lane; l != nil && (l.state != busy || l.writing || l.conn == nil || l.conn.OutboundBuffered() > 0 ||
-			l.conn.InboundBuffered() > 0) {
+		if l := p.conn; l != nil && (l.state != busy || l.writing || l.conn == nil ||
+			l.conn.OutboundBuffered() > 0 || l.conn.InboundBuffered() > 0) {
 			return false
 		}
 	}
@@ -100,7 +100,7 @@
 		a := &t.ask
 		m.Txn = &passedTxn{known, a.method, a.path, a.host, a.mark, a.kind, a.body, t.until, nil}
 		for _, p := range t.posts {
-			l := p.lane
+			l := p.conn
 			if l == nil {
 				continue
 			}
@@ -140,8 +140,8 @@
 		c.t, t.from, t.over = nil, nil, true
 		d.mod.Gone(d.s.now(), t.ref)
 		for _, p := range t.posts {
-			if l := p.lane; l != nil {
-				l.p, p.lane = nil, nil
+			if l := p.conn; l != nil {
+				l.p, p.conn = nil, nil
 				d.ended++
 				t.out--
 				d.mod.Ended(d.s.now(), t.ref, p.no, balance.Cancelled, true, balance.NoLoad)
@@ -264,9 +264,9 @@
 	if err := s.enroll(conns[0], c); err != nil || m.Txn == nil {
 		return err
 	}
-	lanes := make(chan []*lane, 1)
-	s.onLoop(func() { lanes <- s.drive.carry(c, m) })
-	for i, l := range <-lanes {
+	carried := make(chan []*workerConn, 1)
+	s.onLoop(func() { carried <- s.drive.carry(c, m) })
+	for i, l := range <-carried {
 		if l == nil {
 			conns[i+1].Close()
 		} else if err := s.enroll(conns[i+1], l); err != nil {
@@ -288,14 +288,14 @@
 	return (<-up).Err
 }
 
-// carry goes on with a txn of another process. Its lanes are still to be brought to the loop, nil where
+// carry goes on with a txn of another process. Its connections are still to be brought to the loop, nil where
 // nothing is wanted of them any more.
-func (d *drive) carry(c *client, m passed) []*lane {
+func (d *drive) carry(c *client, m passed) []*workerConn {
 	x, now := m.Txn, d.s.now()
-	lanes := make([]*lane, len(x.Posts))
+	conns := make([]*workerConn, len(x.Posts))
 	if c.reads = false; c.conn == nil || d.txns[x.Known.Txn.Ref] != nil {
 		c.close() // it has left meanwhile; what ran for it ends with its connection
-		return lanes
+		return conns
 	}
 	off := 0.0
 	if late := now - m.Now; late < 0 || late > clockOff {
@@ -327,17 +327,18 @@
 		if to == nil {
 			to = &target{id: q.Worker, addr: q.Addr}
 		}
-		l := &lane{s: d.s, to: to, addr: q.Addr, rested: -1, state: busy, passed: true, p: p, at: len(d.s.pool.lanes)}
+		l := &workerConn{s: d.s, to: to, addr: q.Addr, rested: -1, state: busy, passed: true, p: p,
+			at: len(d.s.pool.conns)}
 		if err := l.resp.Restore(q.Response, responseLimits); err != nil {
 			d.s.log.Printf("msg=malformed from=process err=%q", err)
 		}
-		d.s.pool.lanes = append(d.s.pool.lanes, l)
-		p.lane, lanes[i] = l, l
+		d.s.pool.conns = append(d.s.pool.conns, l)
+		p.conn, conns[i] = l, l
 		t.out++
 		heap.Push(&d.ends, ending{p.until, p})
 	}
 	d.txns[t.ref], c.t = t, t
 	d.mod.Carry(*k)
 	d.s.handover.got++
-	return lanes
+	return conns
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -31,69 +31,70 @@
 
 var responseLimits = http1.Limits{Head: headMost, Body: streamMost}
 
-// lanesMost leaves two thirds of the descriptors to clients: at most workers a connection waits for nothing.
-func (s *Scheduler) lanesMost() int { return (s.sockets() - ownSockets) / 3 }
+// workerConnsMost leaves two thirds of the descriptors to clients: at most workers a connection waits for
+// nothing.
+func (s *Scheduler) workerConnsMost() int { return (s.sockets() - ownSockets) / 3 }
 
 // dialsMost bounds the connections being made, as each holds two descriptors until it is on the loop.
-func (s *Scheduler) dialsMost() int { return s.lanesMost() / 4 }
+func (s *Scheduler) dialsMost() int { return s.workerConnsMost() / 4 }
 
 // pool holds the connections to workers.
 type pool struct {
-	s       *Scheduler
-	targets map[string]*target
-	lanes   []*lane
-	resting list.List // the idle ones, the one that has been so for longest first
-	dials   int
-	most    int
-	bad     float64 // how long a connection that was closed early had been idle, and when that was seen
-	badAt   float64
+	s         *Scheduler
+	targets   map[string]*target
+	conns     []*workerConn
+	idleConns list.List // the idle ones, the one that has been so for longest first
+	dials     int
+	most      int
+	bad       float64 // how long a connection that was closed early had been idle, and when that was seen
+	badAt     float64
 }
 
 // target is a worker as its connections know it.
 type target struct {
 	id, addr string
-	listed   bool    // the list has it in service
-	idle     []*lane // the one used last at the end
+	listed   bool          // the list has it in service
+	idle     []*workerConn // the one used last at the end
 }
 
-type laneState int
+type workerConnState int
 
 const (
-	dialling laneState = iota
+	dialling workerConnState = iota
 	idle
 	busy
 	tail // the result has come, the end of the response has not
 )
 
-// lane is one connection to a worker. It carries one posting or probe at a time.
-type lane struct {
-	s       *Scheduler
-	to      *target
-	addr    string        // where it leads; the list may name another later
-	conn    gnet.Conn     // nil while it is made, and once it is closed
-	at      int           // its place among all
-	bed     *list.Element // its place among the idle ones, nil elsewhere
-	rested  float64       // how long it was idle before it was used again; below 0: it is in its first use
-	ours    bool          // closed from this side
-	state   laneState
-	p       *posting
-	probing bool
-	resp    http1.Response
-	since   float64
-	writing bool
-	until   float64 // of a probe
-	passed  bool    // another process of this scheduler passed it on, in use
+// workerConn is one connection to a worker. It carries one posting or probe at a time.
+type workerConn struct {
+	s        *Scheduler
+	to       *target
+	addr     string        // where it leads; the list may name another later
+	conn     gnet.Conn     // nil while it is made, and once it is closed
+	at       int           // its place among all
+	idleElem *list.Element // its place among the idle ones, nil elsewhere
+	rested   float64       // how long it was idle before it was used again; below 0: it is in its first use
+	ours     bool          // closed from this side
+	state    workerConnState
+	p        *posting
+	probing  bool
+	resp     http1.Response
+	since    float64
+	writing  bool
+	until    float64 // of a probe
+	passed   bool    // another process of this scheduler passed it on, in use
 }
 
 func (o *pool) init(s *Scheduler) {
-	*o = pool{s: s, most: s.lanesMost(), badAt: math.Inf(-1), targets: map[string]*target{}}
+	*o = pool{s: s, most: s.workerConnsMost(), badAt: math.Inf(-1), targets: map[string]*target{}}
 }
 
 // bound takes a new bound on connections: idle ones beyond it are closed.
 func (o *pool) bound() {
-	o.most = o.s.lanesMost()
-	for len(o.lanes) > o.most && o.resting.Len() > 0 {
-		o.resting.Front().Value.(*lane).close()
+	o.most = o.s.workerConnsMost()
+	for len(o.conns) > o.most && o.idleConns.Len() > 0 {
+		o.idleConns.Front().Value.(*workerConn).close()
 	}
 }
 
@@ -137,7 +138,7 @@
 // was made the worker began to drain, left or moved, or the list ceased to count; or its time, or the window in
 // which the txn may go again, is over, which a loop that ran late has yet to see to; or it was answered or its
 // client left, which the module does not say where nothing may be called off. All that is sent passes here.
-func (l *lane) may(now float64) bool {
+func (l *workerConn) may(now float64) bool {
 	p := l.p
 	return l.s.pool.open(l.to) && l.addr == l.to.addr &&
 		(p == nil || !p.t.over && now <= p.by && now < p.until && now < l.s.roster.watch.Till())
@@ -174,7 +175,7 @@
 
 // take finds an idle connection to a worker, or begins a new one. At a bound there is none. What must be sure
 // of its connection gets a new one.
-func (o *pool) take(id string, sure bool) *lane {
+func (o *pool) take(id string, sure bool) *workerConn {
 	t := o.target(id)
 	if t == nil {
 		return nil
@@ -184,23 +185,23 @@
 		l := t.idle[n-1]
 		if l.rested = now - l.since; l.rested <= o.keptFor(now) && l.quiet() {
 			t.idle = t.idle[:n-1]
-			l.woken()
+			l.leaveIdle()
 			return l
 		}
 		l.close()
 	}
-	if len(o.lanes) >= o.most {
-		oldest := o.resting.Front()
+	if len(o.conns) >= o.most {
+		oldest := o.idleConns.Front()
 		if oldest == nil {
 			return nil
 		}
-		oldest.Value.(*lane).close()
+		oldest.Value.(*workerConn).close()
 	}
 	if o.dials >= o.s.dialsMost() {
 		return nil
 	}
-	l := &lane{s: o.s, to: t, addr: t.addr, rested: -1, at: len(o.lanes)}
-	o.lanes = append(o.lanes, l)
+	l := &workerConn{s: o.s, to: t, addr: t.addr, rested: -1, at: len(o.conns)}
+	o.conns = append(o.conns, l)
 	o.dials++
 	o.s.dial(t.addr, l, func(error) {
 		o.dials--
@@ -210,15 +211,15 @@
 	return l
 }
 
-func (o *pool) drop(l *lane) {
-	if end := len(o.lanes) - 1; l.at <= end && o.lanes[l.at] == l {
-		o.lanes[l.at] = o.lanes[end]
-		o.lanes[l.at].at = l.at
-		o.lanes[end] = nil
-		o.lanes = o.lanes[:end]
+func (o *pool) drop(l *workerConn) {
+	if end := len(o.conns) - 1; l.at <= end && o.conns[l.at] == l {
+		o.conns[l.at] = o.conns[end]
+		o.conns[l.at].at = l.at
+		o.conns[end] = nil
+		o.conns = o.conns[:end]
 	}
-	l.woken()
-	l.to.idle = slices.DeleteFunc(l.to.idle, func(x *lane) bool { return x == l })
+	l.leaveIdle()
+	l.to.idle = slices.DeleteFunc(l.to.idle, func(x *workerConn) bool { return x == l })
 }
 
 // dial makes a connection off the loop and brings it there, where opened or failed is called. One that never
@@ -249,7 +250,7 @@
 		o.s.drive.over(p, balance.NoConnect, balance.NoLoad, "")
 		return
 	}
-	p.lane, l.p = l, p
+	p.conn, l.p = l, p
 	if l.state == idle {
 		l.send()
 	}
@@ -269,7 +270,7 @@
 	}
 }
 
-func (l *lane) opened(c gnet.Conn) {
+func (l *workerConn) opened(c gnet.Conn) {
 	if l.passed {
 		if l.conn = c; l.p == nil {
 			l.close() // called off meanwhile
@@ -281,37 +282,37 @@
 	if l.p != nil || l.probing {
 		l.send()
 	} else {
-		l.rest()
+		l.putIdle()
 	}
 }
 
-// rest makes the connection an idle one.
-func (l *lane) rest() {
+// putIdle makes the connection an idle one.
+func (l *workerConn) putIdle() {
 	l.state, l.since = idle, l.s.now()
 	if !l.s.pool.open(l.to) || l.addr != l.to.addr {
 		l.close()
 		return
 	}
 	l.to.idle = append(l.to.idle, l)
-	l.bed = l.s.pool.resting.PushBack(l)
+	l.idleElem = l.s.pool.idleConns.PushBack(l)
 }
 
-// woken takes it from among the idle ones.
-func (l *lane) woken() {
-	if l.bed != nil {
-		l.s.pool.resting.Remove(l.bed)
-		l.bed = nil
+// leaveIdle takes it from among the idle ones.
+func (l *workerConn) leaveIdle() {
+	if l.idleElem != nil {
+		l.s.pool.idleConns.Remove(l.idleElem)
+		l.idleElem = nil
 	}
 }
 
 // send writes the request. Nothing is ever sent again without the module asking for it.
-func (l *lane) send() {
+func (l *workerConn) send() {
 	if p := l.p; p != nil && p.t.from != nil && p.t.from.left() {
 		p.t.from.close() // with it its txn is over, and the module may call this posting off
 	}
 	if l.p == nil && !l.probing || !l.may(l.s.now()) {
 		l.end(balance.NeverSent)
-		l.rest()
+		l.putIdle()
 		return
 	}
 	l.state = busy
@@ -346,7 +347,7 @@
 }
 
 // abandon gives up the posting, and tells whether its request may have been written whole.
-func (l *lane) abandon() bool {
+func (l *workerConn) abandon() bool {
 	l.p = nil
 	if l.state == dialling {
 		return false // the connection is of use to another posting
@@ -360,19 +361,19 @@
 }
 
 // quiet tells whether nothing has come on an idle connection that the loop has not seen yet, such as its end.
-func (l *lane) quiet() bool {
+func (l *workerConn) quiet() bool {
 	_, _, err := unix.Recvfrom(l.conn.Fd(), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	return err == unix.EAGAIN
 }
 
-func (l *lane) close() {
+func (l *workerConn) close() {
 	l.ours = true
 	if l.conn != nil {
 		_ = l.s.loop.Close(l.conn)
 	}
 }
 
-func (l *lane) closed(c gnet.Conn, _ error) {
+func (l *workerConn) closed(c gnet.Conn, _ error) {
 	short := l.writing || c.OutboundBuffered() > 0
 	if short {
 		// gnet writes what it still holds after this call, and a posting that never went out whole must not
@@ -398,9 +399,9 @@
 }
 
 // end tells how the posting or probe ended, if one is on the connection.
-func (l *lane) end(how balance.Outcome) { l.finish(how, balance.NoLoad, "") }
+func (l *workerConn) end(how balance.Outcome) { l.finish(how, balance.NoLoad, "") }
 
-func (l *lane) finish(how balance.Outcome, load balance.Load, result string) {
+func (l *workerConn) finish(how balance.Outcome, load balance.Load, result string) {
 	if p := l.p; p != nil {
 		l.p = nil
 		l.s.drive.over(p, how, load, result)
@@ -412,7 +413,7 @@
 }
 
 // status is the outcome that a whole response without a last line tells.
-func (l *lane) status() balance.Outcome {
+func (l *workerConn) status() balance.Outcome {
 	mark, _ := l.resp.Fields().Get("not-started")
 	switch s := l.resp.Status; {
 	case s == 200 && l.probing:
@@ -427,7 +428,7 @@
 	return balance.Erred
 }
 
-func (l *lane) traffic(gnet.Conn) {
+func (l *workerConn) traffic(gnet.Conn) {
 	for l.conn != nil {
 		buf, _ := l.conn.Peek(-1)
 		if len(buf) == 0 {
@@ -466,7 +467,7 @@
 				l.close()
 				return
 			}
-			l.rest()
+			l.putIdle()
 		} else if n == 0 {
 			return
 		}
@@ -475,7 +476,7 @@
 
 // load reads a worker's report: an object, or after the mark of its format, as ORCA has it, that or pairs.
 // One that cannot be read is dropped, as what it came with is good all the same.
-func (l *lane) load(report []byte) balance.Load {
+func (l *workerConn) load(report []byte) balance.Load {
 	if !l.s.node.told.Reports || len(report) == 0 {
 		return balance.NoLoad
 	}
@@ -511,7 +512,7 @@
 
 // notes reads the lines that have come. They are dropped all at once: one by one a worker that sends nothing
 // but line ends would hold up the loop.
-func (l *lane) notes() error {
+func (l *workerConn) notes() error {
 	body, at := l.resp.Body(), 0
 	defer func() { l.resp.Take(at) }()
 	for l.p != nil {
@@ -553,7 +554,7 @@
 	return nil
 }
 
-func (l *lane) last(how balance.Outcome, n note) {
+func (l *workerConn) last(how balance.Outcome, n note) {
 	l.state, l.since = tail, l.s.now()
 	result := ""
 	if n.Result != nil {
@@ -564,7 +565,7 @@
 
 // sweep closes connections that have been idle for long, and ends probes that get no answer.
 func (o *pool) sweep(now float64) {
-	for _, l := range slices.Clone(o.lanes) {
+	for _, l := range slices.Clone(o.conns) {
 		switch {
 		case l.probing && now >= l.until:
 			l.end(balance.TimedOut)
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -17,7 +17,7 @@
 	"shalebeam/watch"
 )
 
-// What loopback sockets do only by chance is told to a lane by hand.
+// What loopback sockets do only by chance is told to a worker's connection by hand.
 
 type fakeConn struct {
 	gnet.Conn
@@ -57,8 +57,8 @@
 	return nil
 }
 
-// onceOnly is a scheduler with a once-only txn whose posting waits for a lane's connection.
-func onceOnly(t *testing.T) (*Scheduler, *lane) {
+// onceOnly is a scheduler with a once-only txn whose posting waits for a worker's connection.
+func onceOnly(t *testing.T) (*Scheduler, *workerConn) {
 	t.Helper()
 	n, err := Parse([]byte(`{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","settings":{
 "schemes":[{"name":"buy","effect":"fragile","expiry":20000000,"gain":1,"sla_time":9000000}]}}`))
@@ -73,10 +73,10 @@
 	if _, ok := s.drive.mod.NextPosting(s.now()); !ok {
 		t.Fatal("no posting")
 	}
-	l := &lane{s: s, to: s.pool.target("w1"), addr: "127.0.0.1:3"}
-	l.p = &posting{t: x, lane: l, until: x.until, by: math.Inf(1)}
+	l := &workerConn{s: s, to: s.pool.target("w1"), addr: "127.0.0.1:3"}
+	l.p = &posting{t: x, conn: l, until: x.until, by: math.Inf(1)}
 	x.posts, x.out = append(x.posts, l.p), 1
-	s.pool.lanes, s.pool.dials = append(s.pool.lanes, l), 1
+	s.pool.conns, s.pool.dials = append(s.pool.conns, l), 1
 	return s, l
 }
 
@@ -117,15 +117,15 @@
 
 // What stands against a posting by the time that its connection is up keeps it from being sent, and it never ran.
 func TestTheLastCheckBeforeSending(t *testing.T) {
-	for name, happens := range map[string]func(s *Scheduler, l *lane){
-		"the worker began to drain":      func(s *Scheduler, l *lane) { s.pool.know("w1", "127.0.0.1:3", false) },
-		"the worker left":                func(s *Scheduler, l *lane) { s.pool.forget([]string{"w1"}, false, nil) },
-		"the worker is at another place": func(s *Scheduler, l *lane) { s.pool.know("w1", "127.0.0.1:4", true) },
-		"staff took it out":              func(s *Scheduler, l *lane) { s.ops.staffed["w1"] = record{Since: 1} },
-		"the txn's window is over":       func(s *Scheduler, l *lane) { l.p.by = s.now() - 1 },
-		"its client's time is over":      func(s *Scheduler, l *lane) { l.p.until = s.now() - 1 },
-		"the list counts no more":        func(s *Scheduler, l *lane) { s.roster.watch = watch.New(s.now()-2, 1, 0) },
-		"its client has left, unread": func(s *Scheduler, l *lane) {
+	for name, happens := range map[string]func(s *Scheduler, l *workerConn){
+		"the worker began to drain":      func(s *Scheduler, l *workerConn) { s.pool.know("w1", "127.0.0.1:3", false) },
+		"the worker left":                func(s *Scheduler, l *workerConn) { s.pool.forget([]string{"w1"}, false, nil) },
+		"the worker is at another place": func(s *Scheduler, l *workerConn) { s.pool.know("w1", "127.0.0.1:4", true) },
+		"staff took it out":              func(s *Scheduler, l *workerConn) { s.ops.staffed["w1"] = record{Since: 1} },
+		"the txn's window is over":       func(s *Scheduler, l *workerConn) { l.p.by = s.now() - 1 },
+		"its client's time is over":      func(s *Scheduler, l *workerConn) { l.p.until = s.now() - 1 },
+		"the list counts no more":        func(s *Scheduler, l *workerConn) { s.roster.watch = watch.New(s.now()-2, 1, 0) },
+		"its client has left, unread": func(s *Scheduler, l *workerConn) {
 			pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 			if err != nil {
 				t.Fatal(err)
@@ -171,14 +171,14 @@
 	c := &fakeConn{of: l}
 	l.opened(c)
 	l.p = nil
-	l.rest()
+	l.putIdle()
 	l.since = now - 2000
 	l.closed(c, io.EOF)
 	if got := o.keptFor(now); got < 900 || got > 1100 || before <= got {
 		t.Errorf("after the end of one that was idle for 2 s, %v ms, and %v before", got, before)
 	}
 	for _, rested := range []float64{-1, 100} { // reset in its first use, and when it was used again
-		l := &lane{s: s, to: l.to, state: busy, rested: rested}
+		l := &workerConn{s: s, to: l.to, state: busy, rested: rested}
 		l.closed(&fakeConn{of: l}, io.EOF)
 		if got := o.keptFor(now); (got < 100) != (rested >= 0) {
 			t.Errorf("after a reset of one that had been idle for %v ms, %v ms", rested, got)
@@ -219,8 +219,8 @@
 		}
 		reused := !c.ended && l.state == idle
 		_ = s.loop.Close(c)
-		if p.t.out != 0 || p.lane != nil || len(s.pool.lanes) != 0 || len(l.to.idle) != 0 {
-			t.Errorf("%q: posting %+v, lane %+v", text, p, l)
+		if p.t.out != 0 || p.conn != nil || len(s.pool.conns) != 0 || len(l.to.idle) != 0 {
+			t.Errorf("%q: posting %+v, connection %+v", text, p, l)
 		}
 		if text == good && !(p.t.over && reused) {
 			t.Errorf("cut somehow it does not settle: over %t, reused %t", p.t.over, reused)
