--- a/scheduler/live_test.go
+++ b/scheduler/live_test.go
@@ -119,9 +119,13 @@
 }
 
 // hold keeps the loop from all else until the test lets it go on.
-func (v *live) hold() (release func()) {
+func (v *live) hold() (release func()) { return v.holdAfter(func() {}) }
+
+// holdAfter does something on the loop, and then holds it.
+func (v *live) holdAfter(f func()) (release func()) {
 	held, on := make(chan struct{}), make(chan struct{})
 	v.onLoop(func() {
+		f()
 		close(held)
 		<-on
 	})
@@ -269,16 +273,7 @@
 func (v *live) drains() (release func()) {
 	v.stop()
 	v.until("it drains", func() bool { return v.phase == draining })
-	held, on := make(chan struct{}), make(chan struct{})
-	v.onLoop(func() {
-		v.drained -= drainLeast
-		close(held)
-		<-on
-	})
-	<-held
-	release = sync.OnceFunc(func() { close(on) })
-	v.t.Cleanup(release)
-	return release
+	return v.holdAfter(func() { v.drained -= drainLeast })
 }
 
 // What this machine has taken by the end of a stop is answered, also what the loop has yet to read or to accept. (Both were
