--- a/scheduler/live_test.go
+++ b/scheduler/live_test.go
@@ -37,8 +37,8 @@
 
 const livePatience = 20 * time.Second
 
-// newLive starts one; more replaces keys of its configuration.
-func newLive(t *testing.T, more string) *live {
+// newLive starts one.
+func newLive(t *testing.T) *live {
 	t.Helper()
 	v := &live{t: t, calls: make(chan *workerCall, 1000), ended: make(chan error, 1)}
 	var err error
@@ -52,14 +52,13 @@
 		t.Fatal(err)
 	}
 	down.Close()
-	n, err := Parse(fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1",%s
+	n, err := Parse(fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
 "known":{"seq":1,"whole":true,"hosts":[{"host":"w1","dial":%q,"site":"z","class":"k","block":0,"health":"in_service",
 "share":1,"born_ms":0}]},"settings":{"my_number":0,"peers_total":1,"tick":1000,"zones":["z"],"kinds":["k"],
 "domain":{"tells_start":true},"guarantees":{"must_ask_in":60000000},
 "policy_limits":{"cancel":true,"max_postings":6,"conn_idle":10000000,"connect_timeout":5000000},"schemes":[
-{"name":"look","effect":"retryable","expiry":2000000,"gain":1,"sla_time":1500000,"tardy_gain":0.2},
-{"name":"buy","effect":"fragile","expiry":2000000,"gain":1,"sla_time":1500000,"tardy_gain":0.2}]}}`,
-		down.Addr(), more, v.workers.Addr()))
+{"name":"look","effect":"retryable","expiry":2000000,"gain":1,"sla_time":1500000,"tardy_gain":0.2}]}}`,
+		down.Addr(), v.workers.Addr()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -152,8 +151,8 @@
 	}
 }
 
-func request(scheme, ref string) string {
-	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nWork-Hint: 1000\r\nContent-Length: 4\r\n\r\nbody", scheme, ref)
+func request(ref string) string {
+	return "POST /look HTTP/1.1\r\nHost: h\r\nRequest-Id: " + ref + "\r\nWork-Hint: 1000\r\nContent-Length: 4\r\n\r\nbody"
 }
 
 // client connects as a client does, and sends this.
@@ -220,13 +219,13 @@
 func TestNoAttemptForAClientThatHasLeft(t *testing.T) {
 	for name, cross := range map[string]func(v *live, release func()){
 		"its request and its end come together": func(v *live, release func()) {
-			v.leave(v.client(request("look", "gone")))
+			v.leave(v.client(request("gone")))
 		},
 		"it leaves as a worker gets free": func(v *live, release func()) {
 			release()
-			first := v.client(request("look", "first"))
+			first := v.client(request("first"))
 			c := v.call()
-			second := v.client(request("look", "gone"))
+			second := v.client(request("gone"))
 			v.until("the second waits", func() bool { return len(v.drive.txns) == 2 })
 			release = v.hold()
 			c.settle()
@@ -237,7 +236,7 @@
 		},
 		"it sent another request ahead of the first one's answer": func(v *live, release func()) {
 			release()
-			one := v.client(request("look", "first") + request("look", "gone"))
+			one := v.client(request("first") + request("gone"))
 			c := v.call()
 			release = v.hold()
 			c.settle()
@@ -249,15 +248,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			v := newLive(t, "")
-			warm := v.client(request("look", "warm")) // leaves a connection to the worker, on which an attempt goes out at once
+			v := newLive(t)
+			warm := v.client(request("warm")) // leaves a connection to the worker, on which an attempt goes out at once
 			v.call().settle()
 			v.answers(warm, 200, "ok warm")
 			release := v.hold()
 			cross(v, release)
 			release()
 			v.until("its txn is over", func() bool { return len(v.drive.txns) == 0 })
-			last := v.client(request("look", "last"))
+			last := v.client(request("last"))
 			if c := v.call(); c.ref != "last" {
 				t.Errorf("%s was sent on", c.ref)
 			} else {
@@ -281,14 +280,14 @@
 func TestAStopLosesNothingThatCameBeforeItsEnd(t *testing.T) {
 	for name, comes := range map[string]func(v *live, resting *net.TCPConn) *net.TCPConn{
 		"on a connection that rests": func(v *live, resting *net.TCPConn) *net.TCPConn {
-			io.WriteString(resting, request("look", "late"))
+			io.WriteString(resting, request("late"))
 			return resting
 		},
 		"on a connection that is not accepted": func(v *live, _ *net.TCPConn) *net.TCPConn {
-			return v.client(request("look", "late"))
+			return v.client(request("late"))
 		},
 		"but for its last byte": func(v *live, resting *net.TCPConn) *net.TCPConn {
-			text := request("look", "late")
+			text := request("late")
 			io.WriteString(resting, text[:len(text)-1])
 			time.AfterFunc(100*time.Millisecond, func() { io.WriteString(resting, text[len(text)-1:]) })
 			return resting
@@ -296,7 +295,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			v := newLive(t, "")
+			v := newLive(t)
 			resting := v.client("")
 			v.until("it is accepted", func() bool { return len(v.clients.all) == 1 })
 			release := v.drains()
@@ -322,8 +321,8 @@
 // sent on nor answered with a reset, which would take the last answer with it. (It was closed.)
 func TestWhatCrossesTheEndOfAConnection(t *testing.T) {
 	t.Parallel()
-	v := newLive(t, "")
-	c := v.client(request("look", "first"))
+	v := newLive(t)
+	c := v.client(request("first"))
 	v.call().settle()
 	v.answers(c, 200, "ok first")
 	v.until("its connection rests for long", func() bool {
@@ -331,7 +330,7 @@
 		v.clients.sweep(v.now())
 		return v.clients.all[0].shut
 	})
-	io.WriteString(c, request("look", "late"))
+	io.WriteString(c, request("late"))
 	acked(t, c, false)
 	if n, err := c.Read(make([]byte, 1)); n != 0 || err != io.EOF {
 		t.Errorf("read %d, %v", n, err)
