--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"errors"
+	"fmt"
+	"io"
 	"strconv"
 	"strings"
 
@@ -213,8 +216,12 @@
 // opened takes one that another process passed on.
 func (c *client) opened(conn gnet.Conn) { c.s.clients.add(c, conn) }
 
-func (c *client) closed(gnet.Conn, error) {
+func (c *client) closed(_ gnet.Conn, err error) {
 	cs := &c.s.clients
+	if c.t != nil && !endedByPeer(err) {
+		cs.s.log.Printf("msg=request state=unanswered id=%s phase=%s attempts=%d open=%d err=%q", c.t.ref, cs.s.phase,
+			len(c.t.posts), c.t.out, fmt.Sprint(err))
+	}
 	end := len(cs.all) - 1
 	cs.all[c.at] = cs.all[end]
 	cs.all[c.at].at = c.at
@@ -227,6 +234,16 @@
 	}
 }
 
+// endedByPeer tells whether a connection ended because the other side closed it or cannot be reached.
+func endedByPeer(err error) bool {
+	for _, end := range []error{io.EOF, unix.ECONNRESET, unix.EPIPE, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ENETUNREACH} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *client) traffic(gnet.Conn) {
 	if c.reads {
 		return // an answer given there goes on with what is buffered
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -142,6 +142,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	if s.phase != stopped {
+		s.log.Printf("msg=loop state=ended phase=%s requests=%d clients=%d", s.phase, len(s.drive.txns), len(s.clients.all))
 		return fmt.Errorf("the event loop ended while %s", s.phase)
 	}
 	return nil
