--- /dev/null
+++ b/cmd/shalebeam/faults_test.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"shalebeam/lab/sysfault"
+)
+
+// Each case makes system calls of a running process fail for a moment. Requests that are open then and those that come
+// meanwhile get their answers, and the process serves on.
+func TestServesWhileSystemCallsFail(t *testing.T) {
+	t.Parallel()
+	for name, rule := range map[string]sysfault.Rule{
+		"accept EMFILE":         {Call: sysfault.Accept, Errno: unix.EMFILE, Most: 20},
+		"accept ENFILE":         {Call: sysfault.Accept, Errno: unix.ENFILE, Most: 20},
+		"accept ENOBUFS":        {Call: sysfault.Accept, Errno: unix.ENOBUFS, Most: 20},
+		"accept ENOMEM":         {Call: sysfault.Accept, Errno: unix.ENOMEM, Most: 20},
+		"accept EPROTO":         {Call: sysfault.Accept, Errno: unix.EPROTO, Most: 20},
+		"accept EPERM":          {Call: sysfault.Accept, Errno: unix.EPERM, Most: 20},
+		"accept ENETDOWN":       {Call: sysfault.Accept, Errno: unix.ENETDOWN, Most: 20},
+		"accept ECONNABORTED":   {Call: sysfault.Accept, Errno: unix.ECONNABORTED, Most: 20},
+		"accept EINTR":          {Call: sysfault.Accept, Errno: unix.EINTR, Most: 20},
+		"read EINTR":            {Call: sysfault.Read, Kind: sysfault.Sockets, Errno: unix.EINTR, Every: 2, Most: 50},
+		"read ENOMEM":           {Call: sysfault.Read, Kind: sysfault.Sockets, Errno: unix.ENOMEM, Every: 2, Most: 50},
+		"read short":            {Call: sysfault.Read, Kind: sysfault.Sockets, Short: 7},
+		"write EINTR":           {Call: sysfault.Write, Kind: sysfault.Sockets, Errno: unix.EINTR, Every: 2, Most: 50},
+		"write ENOBUFS":         {Call: sysfault.Write, Kind: sysfault.Sockets, Errno: unix.ENOBUFS, Every: 2, Most: 50},
+		"write ENOMEM":          {Call: sysfault.Write, Kind: sysfault.Sockets, Errno: unix.ENOMEM, Every: 2, Most: 50},
+		"write EAGAIN":          {Call: sysfault.Write, Kind: sysfault.Sockets, Errno: unix.EAGAIN, Every: 2, Most: 50},
+		"write short":           {Call: sysfault.Write, Kind: sysfault.Sockets, Short: 7},
+		"wake-up EINTR":         {Call: sysfault.Write, Kind: sysfault.EventFDs, Errno: unix.EINTR, Every: 3, Most: 50},
+		"epoll_ctl ENOMEM":      {Call: sysfault.EpollCtl, Errno: unix.ENOMEM, Every: 2, Most: 20},
+		"epoll_ctl ENOSPC":      {Call: sysfault.EpollCtl, Errno: unix.ENOSPC, Every: 2, Most: 20},
+		"dup EMFILE":            {Call: sysfault.Dup, Errno: unix.EMFILE, Every: 2, Most: 20},
+		"poll EINTR":            {Call: sysfault.Poll, Errno: unix.EINTR, Every: 2, Most: 20},
+		"socket ENFILE":         {Call: sysfault.Socket, Errno: unix.ENFILE, Most: 8},
+		"socket ENOBUFS":        {Call: sysfault.Socket, Errno: unix.ENOBUFS, Most: 8},
+		"connect EINTR":         {Call: sysfault.Connect, Errno: unix.EINTR, Every: 2, Most: 20},
+		"connect EADDRNOTAVAIL": {Call: sysfault.Connect, Errno: unix.EADDRNOTAVAIL, Most: 8},
+		"connect ENETUNREACH":   {Call: sysfault.Connect, Errno: unix.ENETUNREACH, Most: 8},
+		"connect ENOBUFS":       {Call: sysfault.Connect, Errno: unix.ENOBUFS, Most: 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			underFault(t, rule)
+		})
+	}
+}
+
+// underFault has requests open before, during and after a fault, on connections that stay and on new ones.
+func underFault(t *testing.T, rule sysfault.Rule) {
+	s := newStage(t)
+	s.traced = []sysfault.Call{rule.Call}
+	s.start(members(1, true, s.worker("w1"), s.worker("w2")), nil)
+	s.healthy()
+	resting := s.keep()
+	resting.send("/look", "rest0")
+	s.call().settle("rest0")
+	resting.gets(200, "rest0")
+
+	open := s.keep()
+	open.send("/buy", "open")
+	held := s.call()
+	s.faults.Set(rule)
+	answering := make(chan struct{})
+	go func() {
+		defer close(answering)
+		for {
+			select {
+			case c := <-s.calls:
+				c.settle(c.id())
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	var news []chan answer
+	for i := range 8 {
+		resting.send("/look", fmt.Sprint("rest", i+1))
+		resting.gets(200, fmt.Sprint("rest", i+1))
+		scheme := []string{"/look", "/buy"}[i%2]
+		news = append(news, s.ask(scheme, fmt.Sprint("new", i)))
+		time.Sleep(10 * time.Millisecond)
+	}
+	for i, c := range news {
+		s.gets(c, 200, fmt.Sprint("new", i))
+	}
+	held.settle("open")
+	open.gets(200, "open")
+	if s.faults.Failed() == 0 {
+		t.Error("no call failed, so the case shows nothing")
+	}
+	s.faults.Set()
+	s.gets(s.ask("/look", "after"), 200, "after")
+	for _, c := range []*kept{resting, open} {
+		c.conn.Close()
+	}
+	s.stop()
+	s.ended()
+}
+
+// A limit on descriptors that is lowered under a running process fails accept, socket and dup for real.
+func TestServesWhileDescriptorsAreShort(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.start(members(1, true, s.worker("w1"), s.worker("w2")), nil)
+	s.healthy()
+	open := s.keep()
+	open.send("/buy", "open")
+	held := s.call()
+	var before unix.Rlimit
+	if err := unix.Prlimit(s.cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Prlimit(s.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 4, Max: before.Max}, nil); err != nil {
+		t.Fatal(err)
+	}
+	var news []chan answer
+	for i := range 8 {
+		news = append(news, s.ask("/look", fmt.Sprint("new", i)))
+	}
+	time.Sleep(300 * time.Millisecond)
+	if err := unix.Prlimit(s.cmd.Process.Pid, unix.RLIMIT_NOFILE, &before, nil); err != nil {
+		t.Fatal(err)
+	}
+	for got := 0; got < len(news); {
+		select {
+		case c := <-s.calls:
+			c.settle("ok")
+		case a := <-news[got]:
+			if a.err != nil || a.status != 200 {
+				t.Errorf("new%d got %d %v", got, a.status, a.err)
+			}
+			got++
+		case <-time.After(patience):
+			t.Fatal("an answer did not come")
+		}
+	}
+	held.settle("open")
+	open.gets(200, "open")
+	open.conn.Close()
+	s.stop()
+	s.ended()
+}
+
+// kept is a client's connection that stays.
+type kept struct {
+	s    *stage
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (s *stage) keep() *kept {
+	s.t.Helper()
+	c := s.dial("")
+	return &kept{s, c, bufio.NewReader(c)}
+}
+
+func (k *kept) send(target, id string) {
+	k.s.t.Helper()
+	_, err := fmt.Fprintf(k.conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Timeout: 20000m\r\n"+
+		"Work-Hint: 1000\r\nContent-Length: 4\r\n\r\nbody", target, id)
+	if err != nil {
+		k.s.t.Errorf("%s could not be sent: %v", id, err)
+	}
+}
+
+func (k *kept) gets(status int, body string) {
+	k.s.t.Helper()
+	w, err := http.ReadResponse(k.in, nil)
+	if err != nil {
+		k.s.t.Fatalf("no answer for %s: %v", body, err)
+	}
+	got, err := io.ReadAll(w.Body)
+	if err != nil || w.StatusCode != status || !strings.Contains(string(got), body) {
+		k.s.t.Errorf("got %d %q %v, want %d %q", w.StatusCode, got, err, status, body)
+	}
+}
--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"shalebeam/lab/sysfault"
 )
 
 // The stand-ins are small: a worker hands each request to the test and does as that says, discovery answers
@@ -30,6 +32,7 @@
 // TestMain is the program itself where a test has started it: one built beside the tests would be no part
 // of what their cached results are kept by.
 func TestMain(m *testing.M) {
+	sysfault.Launch()
 	if os.Getenv(asProgram) != "" {
 		main()
 		return
@@ -100,6 +103,9 @@
 	exit  chan error
 	peer  *net.UDPConn
 
+	traced []sysfault.Call  // calls that the test can make fail
+	faults *sysfault.Tracer // by which it does
+
 	descriptors int // a limit that the system keeps, where it is above 0
 
 	mu      sync.Mutex
@@ -286,7 +292,12 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	if err := s.cmd.Start(); err != nil {
+	if s.traced == nil {
+		err = s.cmd.Start()
+	} else {
+		s.faults, err = sysfault.Start(s.cmd, os.Args[0], s.traced...)
+	}
+	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.pid <- s.cmd.Process.Pid
