--- a/cmd/shalebeam/main.go
+++ b/cmd/shalebeam/main.go
@@ -3,16 +3,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"shalebeam/scheduler"
+	"shalebeam/scheduler/eventloop"
 )
 
 type file struct {
@@ -25,17 +28,18 @@
 }
 
 func (c *serve) Run(hup chan os.Signal) error {
-	n, err := scheduler.Load(c.Path, c.Mgmt)
+	n, err := c.loadAtStart()
 	if err != nil {
 		return err
 	}
+	signal.Ignore(syscall.SIGPIPE) // nobody reads the log any more: that is no reason to end
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	l := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
 	s := scheduler.New(n, l)
 	go func() {
 		for range hup {
-			if n, err := c.load(); err != nil {
+			if n, err := c.loadAgain(l); err != nil {
 				l.Printf("msg=reload state=refused err=%q", err)
 			} else {
 				s.Reload(n)
@@ -45,6 +49,40 @@
 	return s.Run(ctx)
 }
 
+const (
+	loadDelay = 20 * time.Millisecond // between two tries of a file that can't be read for the moment
+	loadFor   = 4 * time.Second       // at a start
+)
+
+// loadAtStart reads the file, for some seconds where it can't be read for the moment.
+func (c *serve) loadAtStart() (n *scheduler.Node, err error) {
+	for end := time.Now().Add(loadFor); ; time.Sleep(loadDelay) {
+		n, err = scheduler.Load(c.Path, c.Mgmt)
+		if !unreadable(err) || time.Now().After(end) {
+			return n, err
+		}
+	}
+}
+
+// loadAgain reads the file at a reload, until it can be read: the change is owed.
+func (c *serve) loadAgain(l *log.Logger) (*scheduler.Node, error) {
+	for tries := 1; ; tries++ {
+		n, err := c.load()
+		if !unreadable(err) {
+			return n, err
+		}
+		if tries == 1 {
+			l.Printf("msg=reload state=waits err=%q", err)
+		}
+		time.Sleep(loadDelay)
+	}
+}
+
+// unreadable tells whether a file could not be read for a reason that may pass.
+func unreadable(err error) bool {
+	return eventloop.Passing(err) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
 // load reads the file again, and once more if it was replaced or written to while it was read.
 func (c *serve) load() (n *scheduler.Node, err error) {
 	for range 5 {
--- a/lab/sysfault/sysfault.go
+++ b/lab/sysfault/sysfault.go
@@ -60,7 +60,7 @@
 type Rule struct {
 	Call  Call
 	Kind  Kind   // of the first descriptor that the call names
-	Path  string // a part of the path that an open or a rename names
+	Path  string // a part of the path that the call or its descriptor names
 	Errno unix.Errno
 	Short int           // a read or write on a socket moves at most so many bytes, where it is above 0
 	Delay time.Duration // the call waits for so long before it is carried out
@@ -152,9 +152,9 @@
 	events []Event
 }
 
-// Start starts cmd, whose path is the program under test, with these calls under control. launcher is a program that calls
-// Launch. No rule is in force yet.
-func Start(cmd *exec.Cmd, launcher string, calls ...Call) (*Tracer, error) {
+// Start starts cmd, whose path is the program under test, with these calls under control and these rules in force. launcher is a
+// program that calls Launch.
+func Start(cmd *exec.Cmd, launcher string, calls []Call, rules ...Rule) (*Tracer, error) {
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_SEQPACKET|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, err
@@ -183,6 +183,7 @@
 		cmd.Wait()
 		return nil, err
 	}
+	t.Set(rules...)
 	go t.serve()
 	return t, nil
 }
@@ -336,7 +337,7 @@
 		}
 		fd = int(int32(n.args[2]))
 	case Open, Rename:
-		return rule.Path == "" || strings.Contains(t.text(n.args[1]), rule.Path)
+		return strings.Contains(t.text(n.args[1]), rule.Path)
 	case Connect:
 		return !t.local(n)
 	case Socket:
@@ -346,7 +347,7 @@
 		return true
 	}
 	name, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", t.pid, fd))
-	return err == nil && strings.HasPrefix(name, string(rule.Kind))
+	return err == nil && strings.HasPrefix(name, string(rule.Kind)) && strings.Contains(name, rule.Path)
 }
 
 // local tells whether a connect is to a Unix socket.
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -7,11 +7,11 @@
 	"strconv"
 	"strings"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"shalebeam/balance"
 	"shalebeam/http1"
+	"shalebeam/scheduler/eventloop"
 )
 
 const (
@@ -19,10 +19,7 @@
 	bodyMost     = 64 << 10
 	memoryUntold = 64
 	bodyPart     = 8 // of the memory goes to bodies: each is held about twice, and the collector needs as much
-	// gnet keeps one ring buffer a direction as long as what waits there fits: a message does.
-	readCap  = 64 << 10
-	writeCap = 128 << 10
-	refMost  = 128
+	refMost      = 128
 	// Connections taken beyond the bound only to be told so: what they bring may have been written already.
 	spareClients = 16
 
@@ -34,7 +31,9 @@
 	idleFor    = 60000.0
 	writeFor   = 10000.0 // for a client to take its answer
 	lingerFor  = 1000.0  // for a client to read an answer before the connection is gone
-	sayEvery   = 1000.0  // a fault that comes with each connection is logged so often at the most
+	// A question to the kernel that was interrupted, or found no memory, is asked again so often.
+	pollRepeats = 20
+	sayEvery    = 1000.0 // a fault that comes with each connection is logged so often at the most
 )
 
 // ask is what a request said: the module's part, and what goes on to workers unchanged.
@@ -60,8 +59,8 @@
 // client is one such connection. It carries one request at a time.
 type client struct {
 	s     *Scheduler
-	conn  gnet.Conn // nil once it is closed
-	at    int       // its place in all
+	conn  eventloop.Conn // nil once it is closed
+	at    int            // its place in all
 	req   http1.Request
 	t     *txn    // the one that its answer is owed for
 	since float64 // when its present state began, or when part of a request last came
@@ -102,8 +101,7 @@
 	}
 }
 
-// sockets is how many descriptors the process may hold: by the configuration, and no more than the system lets it have, as
-// gnet's loop ends where one can't be accepted for want of them.
+// sockets is how many descriptors the process may hold: by the configuration, and no more than the system lets it have.
 func (s *Scheduler) sockets() int {
 	n := s.node.Limits.Sockets
 	if n <= 0 {
@@ -117,21 +115,21 @@
 	return n
 }
 
-func (cs *clients) accept(conn gnet.Conn) {
+func (cs *clients) accept(conn eventloop.Conn) {
 	c := &client{s: cs.s}
 	conn.SetContext(c)
 	cs.s.handover.came()
 	cs.add(c, conn)
 }
 
-func (cs *clients) add(c *client, conn gnet.Conn) {
+func (cs *clients) add(c *client, conn eventloop.Conn) {
 	c.conn, c.at, c.since = conn, len(cs.all), cs.s.now()
 	c.req.Reset(requestLimits)
 	cs.all = append(cs.all, c)
 	if len(cs.all) <= cs.most {
 		return
 	}
-	// Out of descriptors gnet's loop would end, so one goes that owes and is owed nothing.
+	// Out of descriptors nobody could be accepted, so one goes that owes and is owed nothing.
 	out := cs.spare(c)
 	switch {
 	case out != nil:
@@ -203,20 +201,24 @@
 // stands behind bytes that are not read, or came while the loop did something else.
 func (c *client) left() bool {
 	fds := []unix.PollFd{{Fd: int32(c.conn.Fd()), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(fds, 0)
-	return err == nil && n > 0
+	for range pollRepeats {
+		if n, err := unix.Poll(fds, 0); err == nil {
+			return n > 0
+		}
+	}
+	return false
 }
 
 func (c *client) close() {
 	if c.conn != nil {
-		_ = c.s.loop.Close(c.conn)
+		c.conn.Close()
 	}
 }
 
 // opened takes one that another process passed on.
-func (c *client) opened(conn gnet.Conn) { c.s.clients.add(c, conn) }
+func (c *client) opened(conn eventloop.Conn) { c.s.clients.add(c, conn) }
 
-func (c *client) closed(_ gnet.Conn, err error) {
+func (c *client) closed(_ eventloop.Conn, err error) {
 	cs := &c.s.clients
 	if c.t != nil && !endedByPeer(err) {
 		cs.s.log.Printf("msg=request state=unanswered id=%s phase=%s attempts=%d open=%d err=%q", c.t.ref, cs.s.phase,
@@ -244,14 +246,14 @@
 	return false
 }
 
-func (c *client) traffic(gnet.Conn) {
+func (c *client) traffic(eventloop.Conn) {
 	if c.reads {
 		return // an answer given there goes on with what is buffered
 	}
 	c.reads = true
 	defer func() { c.reads = false }()
 	for c.conn != nil && c.t == nil && !c.ends {
-		buf, _ := c.conn.Peek(-1)
+		buf := c.conn.Peek()
 		if len(buf) == 0 {
 			return
 		}
@@ -262,7 +264,7 @@
 		before := c.req.HeadDone()
 		n, err := c.req.Feed(buf)
 		if n > 0 {
-			_, _ = c.conn.Discard(n)
+			c.conn.Discard(n)
 		}
 		if e, ok := err.(*http1.Error); ok {
 			c.answer(e.Status, e.Reason+"\n", -1)
@@ -274,7 +276,7 @@
 		}
 		if !c.req.Done() {
 			if c.req.HeadDone() && !before && c.req.Fields().Has("expect", "100-continue") {
-				_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+				_ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 			}
 			return
 		}
@@ -284,7 +286,7 @@
 		return
 	}
 	if c.ends {
-		_, _ = c.conn.Discard(-1)
+		c.conn.Discard(c.conn.InboundBuffered())
 	} else if c.conn.InboundBuffered() > headMost+bodyMost {
 		c.close() // it sends on and on and reads no answer
 	}
@@ -464,7 +466,7 @@
 	c.t = nil
 	c.hold(0)
 	c.req.Reset(requestLimits)
-	if _, err := c.conn.Write(b); err != nil || c.conn == nil {
+	if err := c.conn.Write(b); err != nil || c.conn == nil {
 		return
 	}
 	if c.ends {
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shalebeam/balance"
+	"shalebeam/scheduler/eventloop"
 )
 
 // txn is a request that was taken, until it is answered and all its postings have ended.
@@ -36,7 +37,7 @@
 	txns    map[string]*txn
 	ends    ends // when postings are given up
 	pulling bool
-	timer   *time.Timer
+	timer   *eventloop.Timer
 	ended   int // postings that have ended and may still stand there
 	stopAt  float64
 	sweepAt float64
@@ -245,10 +246,6 @@
 	if d.tidy(); len(d.ends) > 0 {
 		at = min(at, d.ends[0].at)
 	}
-	wait := time.Duration(math.Ceil(max(at-now, 0) * float64(time.Millisecond)))
-	if d.timer == nil {
-		d.timer = time.AfterFunc(wait, func() { d.s.onLoop(func() {}) })
-	} else {
-		d.timer.Reset(wait)
-	}
+	d.timer.Stop()
+	d.timer = d.s.loop.After(time.Duration(math.Ceil(max(at-now, 0)*float64(time.Millisecond))), d.s.pull)
 }
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"shalebeam/scheduler/eventloop"
 )
 
 // A new version is started while the old one serves. Both are one scheduler to the rules and to the
@@ -242,22 +244,25 @@
 // leaves the choice to the kernel.
 func (h *handover) pass() {
 	h.place, h.passed = (h.place+1)%uint32(h.others+2), h.s.now()
-	h.steer("tcp", h.s.node.Listen)
-	if h.s.node.PeerListen != "" {
-		h.steer("udp", h.s.node.PeerListen)
+	h.steer(h.s.clientsAt)
+	if h.s.peers.at != nil {
+		h.steer(h.s.peers.at)
 	}
 }
 
-func (h *handover) steer(network, addr string) {
-	fd, err := h.s.eng.DupListener(network, addr)
-	if err == nil {
-		give := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: h.place}
-		err = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
-			&unix.SockFprog{Len: 1, Filter: &give})
-		_ = unix.Close(fd)
-	}
+func (h *handover) steer(at *eventloop.Listener) {
+	give := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: h.place}
+	err := unix.SetsockoptSockFprog(at.Fd(), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+		&unix.SockFprog{Len: 1, Filter: &give})
 	if err != nil {
-		h.s.log.Printf("msg=handover state=shared addr=%s err=%q", addr, err)
+		h.s.log.Printf("msg=handover state=shared addr=%s err=%q", at.Addr(), err)
+	}
+}
+
+// unsteer removes what a process that has drained may have left: it may name any place.
+func (h *handover) unsteer() {
+	if h.others > 0 {
+		_ = unix.SetsockoptInt(h.s.clientsAt.Fd(), unix.SOL_SOCKET, unix.SO_DETACH_REUSEPORT_BPF, 0) // there may be none
 	}
 }
 
@@ -268,36 +273,6 @@
 	}
 }
 
-// knock makes the connection by which this process's loop shows itself. Where the address is shared it may
-// come into another one's queue; anything in this one's will do.
-func (h *handover) knock(addr string) (first net.Conn, err error) {
-	if h.others == 0 {
-		return net.DialTimeout("tcp", addr, time.Second)
-	}
-	fd, err := h.s.eng.DupListener("tcp", h.s.node.Listen)
-	if err != nil {
-		return nil, err
-	}
-	defer unix.Close(fd)
-	// Left by one that has drained, it may name any place.
-	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_REUSEPORT_BPF, 0)
-	for range 100 {
-		if first, err = net.DialTimeout("tcp", addr, time.Second); err != nil {
-			return nil, err
-		}
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			first.Close()
-			return nil, err
-		}
-		if info.Unacked > 0 { // of a socket that listens, what waits to be taken
-			return first, nil
-		}
-		first.Close()
-	}
-	return nil, errors.New("no connection comes to this process")
-}
-
 // ---- who is out ----
 
 // record is one worker that staff took out, and when; and when it was put back, 0 while it is out.
--- a/scheduler/ops.go
+++ b/scheduler/ops.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"net"
 	"strings"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"shalebeam/http1"
+	"shalebeam/scheduler/eventloop"
 )
 
 const (
@@ -23,16 +22,16 @@
 // ops is the second address, where staff ask and tell: one call to a connection.
 type ops struct {
 	s       *Scheduler
-	addr    string
-	all     []*caller         // the one that came first in front
-	staffed map[string]record // workers that staff or the fleet took out, now or lately
+	at      *eventloop.Listener // nil where there is none
+	all     []*caller           // the one that came first in front
+	staffed map[string]record   // workers that staff or the fleet took out, now or lately
 	fleet   fleet
 }
 
 // caller is a connection to it.
 type caller struct {
 	s     *Scheduler
-	conn  gnet.Conn // nil once it is closed
+	conn  eventloop.Conn // nil once it is closed
 	req   http1.Request
 	since float64
 	ends  bool // the call has come
@@ -43,36 +42,9 @@
 	o.fleet.init()
 }
 
-func (o *ops) open() (err error) {
-	if o.s.node.Mgmt != "" {
-		o.addr, err = o.s.bound("tcp", o.s.node.Mgmt)
-	}
-	return err
-}
-
-// ours tells whether a connection that was accepted came to the second address.
-func (o *ops) ours(c gnet.Conn) bool {
-	if o.addr == "" {
-		return false
-	}
-	sa, err := unix.Getsockname(c.Fd())
-	return err == nil && name(sa) == o.addr
-}
-
-// name is a socket's address as text.
-func name(sa unix.Sockaddr) string {
-	switch a := sa.(type) {
-	case *unix.SockaddrInet4:
-		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String()
-	case *unix.SockaddrInet6:
-		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String()
-	}
-	return ""
-}
-
 // accept takes a caller. Of more than can be held the one that has stood for longest goes: who means to call
 // does so at once.
-func (o *ops) accept(conn gnet.Conn) {
+func (o *ops) accept(conn eventloop.Conn) {
 	if len(o.all) >= callersMost {
 		o.all[0].close()
 	}
@@ -90,13 +62,13 @@
 
 func (c *caller) close() {
 	if c.conn != nil {
-		_ = c.s.loop.Close(c.conn)
+		c.conn.Close()
 	}
 }
 
-func (c *caller) opened(gnet.Conn) {}
+func (c *caller) opened(eventloop.Conn) {}
 
-func (c *caller) closed(gnet.Conn, error) {
+func (c *caller) closed(eventloop.Conn, error) {
 	o := &c.s.ops
 	c.conn = nil
 	for i, x := range o.all {
@@ -107,15 +79,15 @@
 	}
 }
 
-func (c *caller) traffic(gnet.Conn) {
-	buf, _ := c.conn.Peek(-1)
+func (c *caller) traffic(eventloop.Conn) {
+	buf := c.conn.Peek()
 	if c.ends {
-		_, _ = c.conn.Discard(len(buf)) // closed with bytes unread, its answer might be lost
+		c.conn.Discard(len(buf)) // closed with bytes unread, its answer might be lost
 		return
 	}
 	n, err := c.req.Feed(buf)
 	if n > 0 {
-		_, _ = c.conn.Discard(n)
+		c.conn.Discard(n)
 	}
 	if e, ok := err.(*http1.Error); ok {
 		c.answer(e.Status, e.Reason+"\n")
@@ -139,7 +111,7 @@
 		body = ""
 	}
 	b := append(headOf(status, len(body), "Connection: close\r\n"), body...)
-	if _, err := c.conn.Write(b); err == nil {
+	if err := c.conn.Write(b); err == nil {
 		_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
 	}
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -4,21 +4,21 @@
 	"bytes"
 	"cmp"
 	"container/list"
-	"context"
 	"encoding/json"
+	"errors"
 	"math"
-	"net"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 	"unicode/utf8"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"shalebeam/balance"
 	"shalebeam/http1"
+	"shalebeam/scheduler/eventloop"
 )
 
 const (
@@ -70,12 +70,12 @@
 type workerConn struct {
 	s        *Scheduler
 	to       *target
-	addr     string        // where it leads; the list may name another later
-	conn     gnet.Conn     // nil while it is made, and once it is closed
-	at       int           // its place among all
-	idleElem *list.Element // its place among the idle ones, nil elsewhere
-	rested   float64       // how long it was idle before it was used again; below 0: it is in its first use
-	ours     bool          // closed from this side
+	addr     string         // where it leads; the list may name another later
+	conn     eventloop.Conn // nil while it is made, and once it is closed
+	at       int            // its place among all
+	idleElem *list.Element  // its place among the idle ones, nil elsewhere
+	rested   float64        // how long it was idle before it was used again; below 0: it is in its first use
+	ours     bool           // closed from this side
 	state    workerConnState
 	p        *posting
 	probing  bool
@@ -203,10 +203,14 @@
 	l := &workerConn{s: o.s, to: t, addr: t.addr, rested: -1, at: len(o.conns)}
 	o.conns = append(o.conns, l)
 	o.dials++
-	o.s.dial(t.addr, l, func(error) {
+	o.s.dial(t.addr, l, func(err error) {
 		o.dials--
 		o.drop(l)
-		l.end(balance.NoConnect)
+		if errors.Is(err, eventloop.ErrLocal) {
+			l.end(balance.NeverSent) // nothing was learned of the worker
+		} else {
+			l.end(balance.NoConnect)
+		}
 	})
 	return l
 }
@@ -222,22 +226,18 @@
 	l.to.idle = slices.DeleteFunc(l.to.idle, func(x *workerConn) bool { return x == l })
 }
 
-// dial makes a connection off the loop and brings it there, where opened or failed is called. One that never
-// comes up ends with the settings' time for that, and holds up no other.
+// dial makes a connection, and calls x.opened or failed. One that never comes up ends with the settings' time for that, and
+// holds up no other.
 func (s *Scheduler) dial(addr string, x connection, failed func(error)) {
-	d := net.Dialer{Timeout: time.Duration(s.node.told.Dial * float64(time.Millisecond)), KeepAlive: -1}
-	go func() {
-		c, err := d.Dial("tcp", addr)
-		if err == nil {
-			var up <-chan gnet.RegisteredResult
-			if up, err = s.loop.Enroll(gnet.NewContext(context.Background(), x), c); err == nil {
-				err = (<-up).Err
-			}
-		}
-		if err != nil {
-			s.onLoop(func() { failed(err) })
-		}
-	}()
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		s.loop.After(0, func() { failed(err) }) // addresses are checked where they come from
+		return
+	}
+	s.loop.Dial(to, time.Duration(s.node.told.Dial*float64(time.Millisecond)), x, func(err error) {
+		failed(err)
+		s.pull()
+	})
 }
 
 func (o *pool) post(p *posting, id string) {
@@ -270,7 +270,7 @@
 	}
 }
 
-func (l *workerConn) opened(c gnet.Conn) {
+func (l *workerConn) opened(c eventloop.Conn) {
 	if l.passed {
 		if l.conn = c; l.p == nil {
 			l.close() // called off meanwhile
@@ -342,7 +342,7 @@
 		b = append(append(b, "\r\n\r\n"...), a.body...)
 	}
 	l.writing = true
-	_, _ = l.conn.Write(b) // where it fails gnet has closed the connection, and closed has told
+	_ = l.conn.Write(b) // where it fails the connection is closed, and closed has told
 	l.writing = false
 }
 
@@ -363,21 +363,21 @@
 // quiet tells whether nothing has come on an idle connection that the loop has not seen yet, such as its end.
 func (l *workerConn) quiet() bool {
 	_, _, err := unix.Recvfrom(l.conn.Fd(), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err == unix.EAGAIN
+	return err == unix.EAGAIN // after any other error a new connection is made
 }
 
 func (l *workerConn) close() {
 	l.ours = true
 	if l.conn != nil {
-		_ = l.s.loop.Close(l.conn)
+		l.conn.Close()
 	}
 }
 
-func (l *workerConn) closed(c gnet.Conn, _ error) {
+func (l *workerConn) closed(c eventloop.Conn, _ error) {
 	short := l.writing || c.OutboundBuffered() > 0
 	if short {
-		// gnet writes what it still holds after this call, and a posting that never went out whole must not
-		// be made whole by that.
+		// What is left is tried once more after this call, and a posting that never went out whole must not be made
+		// whole by that.
 		_ = unix.Shutdown(c.Fd(), unix.SHUT_RDWR)
 	}
 	l.conn = nil
@@ -428,9 +428,9 @@
 	return balance.Erred
 }
 
-func (l *workerConn) traffic(gnet.Conn) {
+func (l *workerConn) traffic(eventloop.Conn) {
 	for l.conn != nil {
-		buf, _ := l.conn.Peek(-1)
+		buf := l.conn.Peek()
 		if len(buf) == 0 {
 			return
 		}
@@ -440,7 +440,7 @@
 		}
 		n, err := l.resp.Feed(buf)
 		if n > 0 {
-			_, _ = l.conn.Discard(n)
+			l.conn.Discard(n)
 		}
 		if err == nil && l.p != nil && l.resp.HeadDone() && l.resp.Status == 200 {
 			err = l.notes()
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -9,11 +9,11 @@
 	"slices"
 	"strconv"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"shalebeam/balance"
 	"shalebeam/http1"
+	"shalebeam/scheduler/eventloop"
 	"shalebeam/watch"
 )
 
@@ -46,8 +46,8 @@
 type link struct {
 	r    *roster
 	addr string
-	conn gnet.Conn  // nil while it is made
-	call watch.Call // to be made once it is
+	conn eventloop.Conn // nil while it is made
+	call watch.Call     // to be made once it is
 	resp http1.Response
 }
 
@@ -137,7 +137,7 @@
 
 func (l *link) hangUp() {
 	if l != nil && l.conn != nil {
-		_ = l.r.s.loop.Close(l.conn)
+		l.conn.Close()
 	}
 }
 
@@ -169,7 +169,7 @@
 	}
 	l.resp.Reset(http1.Limits{Head: headMost, Body: listMost})
 	l.r.watch.Sent(l.r.s.now())
-	_, _ = l.conn.Write([]byte("GET " + rosterPath + query + " HTTP/1.1\r\nHost: " + l.addr + "\r\n\r\n"))
+	_ = l.conn.Write([]byte("GET " + rosterPath + query + " HTTP/1.1\r\nHost: " + l.addr + "\r\n\r\n"))
 }
 
 // no is a status by which discovery turns a call away.
@@ -210,9 +210,9 @@
 	r.pull()
 }
 
-func (l *link) opened(c gnet.Conn) {
+func (l *link) opened(c eventloop.Conn) {
 	if l.r.link != l {
-		_ = l.r.s.loop.Close(c)
+		c.Close()
 		return
 	}
 	l.conn = c
@@ -220,7 +220,7 @@
 	l.r.pull()
 }
 
-func (l *link) closed(_ gnet.Conn, err error) {
+func (l *link) closed(_ eventloop.Conn, err error) {
 	l.conn = nil
 	if err == nil {
 		err = fmt.Errorf("connection ended")
@@ -228,15 +228,15 @@
 	l.fail(ended{err})
 }
 
-func (l *link) traffic(c gnet.Conn) {
+func (l *link) traffic(c eventloop.Conn) {
 	r := l.r
 	if r.link != l && r.aside != l {
 		return
 	}
-	buf, _ := c.Peek(-1)
+	buf := c.Peek()
 	n, err := l.resp.Feed(buf)
 	if n > 0 {
-		_, _ = c.Discard(n)
+		c.Discard(n)
 	}
 	if err != nil {
 		l.fail(err)
