--- a/cmd/shalebeam/faults_test.go
+++ b/cmd/shalebeam/faults_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -158,6 +160,81 @@
 	s.gets(c, 200, "new")
 }
 
+// Who is out is kept in a file. What can't be written there is answered with a no and changes nothing; what can't be read is
+// not written over.
+func TestWhoIsOutIsKeptWhileTheDiskFails(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.traced = []sysfault.Call{sysfault.Open, sysfault.Write, sysfault.Rename}
+	addr := s.withMgmt(members(1, true, s.worker("w1"), s.worker("w2"), s.worker("w3")), map[string]any{"listen": free(t)})
+	if got := opsCall(t, addr, put("/ops/workers/down", "w1")); got != 200 {
+		t.Fatalf("w1 down: %d", got)
+	}
+	for name, rule := range map[string]sysfault.Rule{
+		"no space for a file":   {Call: sysfault.Open, Path: ".out.new", Errno: unix.ENOSPC},
+		"no space for bytes":    {Call: sysfault.Write, Kind: sysfault.Files, Path: ".out.new", Errno: unix.ENOSPC},
+		"bytes are not written": {Call: sysfault.Write, Kind: sysfault.Files, Path: ".out.new", Errno: unix.EIO},
+		"it is not renamed":     {Call: sysfault.Rename, Path: ".out.new", Errno: unix.EIO},
+		"it is not read":        {Call: sysfault.Open, Path: ".out", Errno: unix.EIO},
+		"no descriptor":         {Call: sysfault.Open, Path: ".out", Errno: unix.EMFILE},
+	} {
+		s.faults.Set(rule)
+		if got := opsCall(t, addr, put("/ops/workers/down", "w2")); got != 503 {
+			t.Errorf("%s: w2 down: %d", name, got)
+		}
+		if s.faults.Failed() == 0 {
+			t.Errorf("%s: no call failed, so the case shows nothing", name)
+		}
+	}
+	s.faults.Set()
+	if got := opsCall(t, addr, put("/ops/workers/down", "w3")); got != 200 {
+		t.Errorf("w3 down: %d", got)
+	}
+	for i := range 4 {
+		c := s.ask("/look", fmt.Sprint("r", i))
+		if to := s.settles(c, "ok"); !slices.Equal(to, []string{"w2"}) {
+			t.Errorf("sent to %v, and w2 alone is in", to)
+		}
+	}
+	files, err := filepath.Glob(filepath.Join(s.tmp, "*.out"))
+	if err != nil || len(files) != 1 {
+		t.Fatalf("%v %v", files, err)
+	}
+	raw, err := os.ReadFile(files[0])
+	if text := string(raw); err != nil || !strings.Contains(text, `"w1"`) || !strings.Contains(text, `"w3"`) ||
+		strings.Contains(text, `"w2"`) {
+		t.Errorf("kept is %s %v", raw, err)
+	}
+}
+
+// A call of staff's gets all of its answer, also where the system takes it piece by piece; and the counts say so.
+func TestAnswersToStaffComeWhole(t *testing.T) {
+	t.Parallel()
+	s := newStage(t)
+	s.traced = []sysfault.Call{sysfault.Write}
+	addr := s.withMgmt(members(1, true, s.worker("w1")), nil)
+	s.healthy()
+	s.serves()
+	s.faults.Set(sysfault.Rule{Call: sysfault.Write, Kind: sysfault.Sockets, Errno: unix.EINTR, Every: 2},
+		sysfault.Rule{Call: sysfault.Write, Kind: sysfault.Sockets, Short: 100})
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, "GET /ops/metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+	w, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(w.Body)
+	if err != nil || !strings.HasSuffix(string(text), "# EOF\n") ||
+		!strings.Contains(string(text), "shalebeam_requests_total{result=\"done\"} 1\n") {
+		t.Errorf("%v\n%s", err, text)
+	}
+}
+
 // A limit on descriptors that is lowered under a running process fails accept, socket and dup for real.
 func TestServesWhileDescriptorsAreShort(t *testing.T) {
 	t.Parallel()
--- a/cmd/shalebeam/helpers_test.go
+++ b/cmd/shalebeam/helpers_test.go
@@ -107,7 +107,8 @@
 	early  []sysfault.Rule  // those that fail from the start
 	faults *sysfault.Tracer // makes them fail
 
-	descriptors int // a limit that the system keeps, where it is above 0
+	tmp         string // the program's folder
+	descriptors int    // a limit that the system keeps, where it is above 0
 
 	mu      sync.Mutex
 	list    []byte // what discovery answers; nil: it is down
@@ -237,7 +238,7 @@
 
 // newStage makes all but the scheduler.
 func newStage(t *testing.T) *stage {
-	s := &stage{t: t, calls: make(chan *call, 100), pings: make(chan string, 100), asks: make(chan int, 1000),
+	s := &stage{t: t, tmp: t.TempDir(), calls: make(chan *call, 100), pings: make(chan string, 100), asks: make(chan int, 1000),
 		log: &bytes.Buffer{}, exit: make(chan error, 1), pid: make(chan int, 2), changed: make(chan struct{})}
 	peer, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -288,7 +289,7 @@
 		s.seq, s.list = 1, known
 	}
 	s.mu.Unlock()
-	s.cmd.Env = append(s.cmd.Env, "BALANCER_CONFIG="+s.path)
+	s.cmd.Env = append(s.cmd.Env, "BALANCER_CONFIG="+s.path, "TMPDIR="+s.tmp)
 	out, err := s.cmd.StderrPipe()
 	if err != nil {
 		s.t.Fatal(err)
--- a/cmd/shalebeam/main.go
+++ b/cmd/shalebeam/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log"
 	"os"
@@ -15,7 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"shalebeam/scheduler"
-	"shalebeam/scheduler/eventloop"
+	"shalebeam/scheduler/transient"
 )
 
 type file struct {
@@ -56,19 +55,18 @@
 
 // loadAtStart reads the file, for some seconds where it can't be read for the moment.
 func (c *serve) loadAtStart() (n *scheduler.Node, err error) {
-	for end := time.Now().Add(loadFor); ; time.Sleep(loadDelay) {
+	err = transient.Retry(loadFor, transient.FileError, func() (err error) {
 		n, err = scheduler.Load(c.Path, c.Mgmt)
-		if !unreadable(err) || time.Now().After(end) {
-			return n, err
-		}
-	}
+		return err
+	})
+	return n, err
 }
 
 // loadAgain reads the file at a reload, until it can be read: the change is owed.
 func (c *serve) loadAgain(l *log.Logger) (*scheduler.Node, error) {
 	for tries := 1; ; tries++ {
 		n, err := c.load()
-		if !unreadable(err) {
+		if !transient.FileError(err) {
 			return n, err
 		}
 		if tries == 1 {
@@ -78,11 +76,6 @@
 	}
 }
 
-// unreadable tells whether a file could not be read for a reason that may pass.
-func unreadable(err error) bool {
-	return eventloop.Passing(err) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.ETIMEDOUT)
-}
-
 // load reads the file again, and once more if it was replaced or written to while it was read.
 func (c *serve) load() (n *scheduler.Node, err error) {
 	for range 5 {
--- a/lab/sysfault/sysfault.go
+++ b/lab/sysfault/sysfault.go
@@ -206,7 +206,7 @@
 	return fds[0], nil
 }
 
-// Set puts these rules in force, in place of all before. The first that matches a call counts.
+// Set puts these rules in force, in place of all before. The first that a call falls under counts.
 func (t *Tracer) Set(rules ...Rule) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -314,7 +314,7 @@
 		}
 		t.seen[i]++
 		if rule.Every > 1 && t.seen[i]%rule.Every != 0 {
-			return Rule{}, false
+			continue
 		}
 		t.failed[i]++
 		t.events = append(t.events, Event{time.Now(), rule.Call, int(int32(n.args[0])), rule})
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -220,7 +220,10 @@
 
 func (c *client) closed(_ eventloop.Conn, err error) {
 	cs := &c.s.clients
-	if c.t != nil && !endedByPeer(err) {
+	if c.t != nil && endedByPeer(err) {
+		cs.s.metrics.left++
+	} else if c.t != nil {
+		cs.s.metrics.unanswered++
 		cs.s.log.Printf("msg=request state=unanswered id=%s phase=%s attempts=%d open=%d err=%q", c.t.ref, cs.s.phase,
 			len(c.t.posts), c.t.out, fmt.Sprint(err))
 	}
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -66,10 +66,21 @@
 	if !t.over {
 		t.over = true
 		d.mod.Gone(d.s.now(), t.ref)
+		d.recall(t)
 		d.forget(t)
 	}
 }
 
+// recall gives up what was not written whole of a txn that is over: finished later it would be an attempt for nobody. That it
+// never ran needs no leave to call it off.
+func (d *drive) recall(t *txn) {
+	for _, p := range t.posts {
+		if p.conn != nil && p.conn.unsent() {
+			d.drop(p, balance.NeverSent)
+		}
+	}
+}
+
 func (d *drive) forget(t *txn) {
 	if t.over && t.out == 0 && d.txns[t.ref] == t {
 		delete(d.txns, t.ref)
@@ -83,6 +94,7 @@
 func (d *drive) over(p *posting, how balance.Outcome, load balance.Load, result string) {
 	p.conn = nil
 	d.ended++
+	d.s.metrics.attempts[how]++
 	t := p.t
 	t.out--
 	if how == balance.Done && !t.over {
@@ -91,6 +103,9 @@
 		t.from.answer(200, result, -1)
 	}
 	d.mod.Ended(d.s.now(), t.ref, p.no, how, t.over, load)
+	if how == balance.Done {
+		d.recall(t)
+	}
 	d.forget(t)
 }
 
@@ -124,6 +139,7 @@
 		d.s.pool.sweep(now)
 		d.s.ops.sweep(now)
 		d.s.handover.sweep(now)
+		d.s.metrics.sweep(now)
 	}
 	d.s.roster.sweep(now)
 	for d.step(now) {
@@ -145,6 +161,7 @@
 				d.finals.Reversed++
 				t.from.answer(502, "reversed\n", -1)
 			}
+			d.recall(t)
 			d.forget(t)
 		}
 		return true
--- a/scheduler/eventloop/errors.go
+++ b/scheduler/eventloop/errors.go
@@ -1,10 +1,11 @@
 package eventloop
 
 import (
-	"errors"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"shalebeam/scheduler/transient"
 )
 
 // What each error of a system call means to the loop. docs/design/system-calls.md has the same as a table.
@@ -25,11 +26,12 @@
 	switch err {
 	case unix.EINTR, unix.EAGAIN:
 		return retryNow
-	case unix.ENOBUFS, unix.ENOMEM, unix.EMFILE, unix.ENFILE, unix.ENOSPC:
-		return retryLater
 	case unix.EBADF, unix.EFAULT, unix.EINVAL, unix.ENOTSOCK:
 		return fatal
 	}
+	if transient.Error(err) {
+		return retryLater
+	}
 	return ended
 }
 
@@ -67,26 +69,8 @@
 // Failures counts the system calls that failed, but for those that only had nothing to do.
 func (l *Loop) Failures() map[Failure]uint64 { return l.failures }
 
-// Passing tells whether an error of a system call is of the moment: the same call may succeed soon.
-func Passing(err error) bool {
-	var errno unix.Errno
-	if !errors.As(err, &errno) {
-		return false
-	}
-	r := reactionTo(errno)
-	return r == retryNow || r == retryLater
-}
+// startFor is how long a call may fail for the moment before a start gives up.
+const startFor = 4 * time.Second
 
-const (
-	persistFor   = 4 * time.Second
-	persistDelay = 10 * time.Millisecond
-)
-
-// Persist makes a call again while it fails for the moment, for some seconds. It blocks: it is for what a start needs.
-func Persist(call func() error) error {
-	for end := time.Now().Add(persistFor); ; time.Sleep(persistDelay) {
-		if err := call(); !Passing(err) || time.Now().After(end) {
-			return err
-		}
-	}
-}
+// persist makes a call of the start again while it fails for the moment.
+func persist(call func() error) error { return transient.Retry(startFor, transient.Error, call) }
--- a/scheduler/eventloop/listen.go
+++ b/scheduler/eventloop/listen.go
@@ -68,7 +68,7 @@
 	}}
 	var bound syscall.Conn
 	var at net.Addr
-	err := Persist(func() (err error) {
+	err := persist(func() (err error) {
 		bound, at, err = bind(config)
 		return err
 	})
@@ -77,7 +77,7 @@
 	}
 	defer bound.(interface{ Close() error }).Close()
 	s := &Listener{l: l, addr: addrPort(at)}
-	if err := Persist(func() (err error) { s.fd, err = dup(bound); return err }); err != nil {
+	if err := persist(func() (err error) { s.fd, err = dup(bound); return err }); err != nil {
 		return nil, fmt.Errorf("%s: %w", addr, err)
 	}
 	s.interest = interest{l: l, fd: s.fd}
--- a/scheduler/eventloop/loop.go
+++ b/scheduler/eventloop/loop.go
@@ -66,19 +66,19 @@
 func New(handler Handler) (*Loop, error) {
 	l := &Loop{handler: handler, epoll: -1, wake: -1, watched: map[int]source{}, buffer: make([]byte, readSize),
 		failures: map[Failure]uint64{}}
-	err := Persist(func() (err error) {
+	err := persist(func() (err error) {
 		l.epoll, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 		return err
 	})
 	if err != nil {
 		return nil, fmt.Errorf("epoll_create: %w", err)
 	}
-	err = Persist(func() (err error) {
+	err = persist(func() (err error) {
 		l.wake, err = unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
 		return err
 	})
 	if err == nil {
-		err = Persist(func() error { return l.control(unix.EPOLL_CTL_ADD, l.wake, unix.EPOLLIN) })
+		err = persist(func() error { return l.control(unix.EPOLL_CTL_ADD, l.wake, unix.EPOLLIN) })
 	}
 	if err != nil {
 		l.release()
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"shalebeam/scheduler/eventloop"
+	"shalebeam/scheduler/transient"
 )
 
 // A new version is started while the old one serves. Both are one scheduler to the rules and to the
@@ -40,7 +41,9 @@
 	roomEvery = 10     // ms
 	giveFor   = 1000.0 // a message that is half read or written by then stays, and has two seconds more
 	passFor   = 50.0   // what waited in this one's queue before says nothing of the place
-	keptOut   = 300e3  // for so long it is kept when a worker was put back: longer than any is cold
+	// A question about a lock that fails for the moment is asked again so often.
+	lockRepeats = 20
+	keptOut     = 300e3 // for so long it is kept when a worker was put back: longer than any is cold
 )
 
 // handover is what one process knows of others of its scheduler.
@@ -75,8 +78,11 @@
 	}
 	base := filepath.Join(os.TempDir(), "shalebeam-"+strings.NewReplacer(":", "-", "[", "", "]", "").Replace(
 		h.s.node.Listen))
-	var err error
-	if h.lock, err = os.OpenFile(base+".lock", os.O_RDWR|os.O_CREATE, 0o600); err != nil {
+	err := transient.Retry(startFor/2, transient.FileError, func() (err error) {
+		h.lock, err = os.OpenFile(base+".lock", os.O_RDWR|os.O_CREATE, 0o600)
+		return err
+	})
+	if err != nil {
 		h.lock = nil
 		h.s.log.Printf("msg=handover state=off err=%q", err)
 		return
@@ -124,14 +130,29 @@
 func (h *handover) drop(at int64) { h.set(at, unix.F_UNLCK) }
 
 func (h *handover) set(at int64, kind int16) bool {
-	l := unix.Flock_t{Type: kind, Whence: io.SeekStart, Start: at, Len: 1}
-	return unix.FcntlFlock(h.lock.Fd(), unix.F_OFD_SETLK, &l) == nil
+	return h.control(unix.F_OFD_SETLK, &unix.Flock_t{Type: kind, Whence: io.SeekStart, Start: at, Len: 1}) == nil
+}
+
+// control asks the kernel about locks, again where it was interrupted or short of memory: a lock that is not seen is a process
+// that is not seen.
+func (h *handover) control(command int, l *unix.Flock_t) (err error) {
+	for range lockRepeats {
+		asked := *l
+		if err = unix.FcntlFlock(h.lock.Fd(), command, &asked); err == nil {
+			*l = asked
+			return nil
+		}
+		if err == unix.EAGAIN || err == unix.EACCES || !transient.FileError(err) {
+			return err // another process has it
+		}
+	}
+	return err
 }
 
 // other finds the first byte in a range that another process has locked.
 func (h *handover) other(from, to int64) (at int64, ok bool) {
 	l := unix.Flock_t{Type: unix.F_WRLCK, Whence: io.SeekStart, Start: from, Len: to - from}
-	if err := unix.FcntlFlock(h.lock.Fd(), unix.F_OFD_GETLK, &l); err != nil || l.Type == unix.F_UNLCK {
+	if err := h.control(unix.F_OFD_GETLK, &l); err != nil || l.Type == unix.F_UNLCK {
 		return 0, false
 	}
 	return max(l.Start, from), true
@@ -314,9 +335,11 @@
 	if err != nil || h.seen != nil && os.SameFile(info, h.seen) && info.ModTime().Equal(h.seen.ModTime()) {
 		return
 	}
-	h.seen = info
 	all, err := h.load()
-	if err != nil {
+	if transient.FileError(err) {
+		return // it is read again with the next look
+	}
+	if h.seen = info; err != nil {
 		h.s.log.Printf("msg=malformed from=%s err=%q", h.path, err)
 		return
 	}
@@ -365,6 +388,9 @@
 	}
 	defer h.drop(mayWrite)
 	all, err := h.load()
+	if transient.FileError(err) {
+		return err // what another process has written there may not be overwritten unread
+	}
 	if err != nil {
 		all = &records{Workers: map[string]record{}}
 	}
--- a/scheduler/live_test.go
+++ b/scheduler/live_test.go
@@ -39,6 +39,19 @@
 
 // newLive starts one.
 func newLive(t *testing.T) *live {
+	t.Helper()
+	v := newStill(t)
+	ctx, stop := context.WithCancel(context.Background())
+	v.stop = stop
+	go func() { v.ended <- v.Run(ctx) }()
+	<-v.ready
+	v.addr = addrOf(v.clientsAt)
+	t.Cleanup(stop)
+	return v
+}
+
+// newStill makes one that has not begun.
+func newStill(t *testing.T) *live {
 	t.Helper()
 	v := &live{t: t, calls: make(chan *workerCall, 1000), ended: make(chan error, 1)}
 	var err error
@@ -67,15 +80,30 @@
 		out = os.Stderr
 	}
 	v.Scheduler = New(n, log.New(out, "", log.Lmicroseconds))
-	ctx, stop := context.WithCancel(context.Background())
-	v.stop = stop
-	go func() { v.ended <- v.Run(ctx) }()
-	<-v.ready
-	v.addr = addrOf(v.clientsAt)
-	t.Cleanup(stop)
 	return v
 }
 
+// A client that is there before the service has begun comes after that: seen to first, it had the watch of discovery begun
+// before there was one, and no call was ever made again.
+func TestAClientThatComesBeforeTheServiceBegins(t *testing.T) {
+	t.Parallel()
+	v := newStill(t)
+	if err := v.listen(); err != nil {
+		t.Fatal(err)
+	}
+	v.addr = addrOf(v.clientsAt)
+	c := v.client(request("early"))
+	acked(t, c, false)
+	go func() { v.ended <- v.serve() }()
+	v.call().settle()
+	v.answers(c, 200, "ok early")
+	c.Close()
+	v.onLoop(v.drain)
+	if err := <-v.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // work takes what comes to the worker; the test answers it.
 func (v *live) work() {
 	for {
--- a/scheduler/ops.go
+++ b/scheduler/ops.go
@@ -35,6 +35,8 @@
 	req   http1.Request
 	since float64
 	ends  bool // the call has come
+
+	answered, shut bool // its answer was given, and is written
 }
 
 func (o *ops) init(s *Scheduler) {
@@ -58,6 +60,9 @@
 	for len(o.all) > 0 && now > o.all[0].since+callerFor {
 		o.all[0].close()
 	}
+	for _, c := range o.all {
+		c.finish()
+	}
 }
 
 func (c *caller) close() {
@@ -91,6 +96,8 @@
 	}
 	if e, ok := err.(*http1.Error); ok {
 		c.answer(e.Status, e.Reason+"\n")
+	} else if c.req.Done() && c.req.Target == metricsPath && c.req.Method == "GET" {
+		c.reply(200, metricsType, c.s.metrics.text())
 	} else if c.req.Done() {
 		status, body := c.s.ops.call(&c.req)
 		wait := c.s.handover.settles()
@@ -102,16 +109,28 @@
 	}
 }
 
-// answer ends the call. The caller closes the connection, or is closed in time.
-func (c *caller) answer(status int, body string) {
+// answer ends the call with a word of text.
+func (c *caller) answer(status int, body string) { c.reply(status, "", body) }
+
+// reply ends the call. The caller closes the connection, or is closed in time. fields are further lines of the head.
+func (c *caller) reply(status int, fields, body string) {
 	if c.ends = true; c.conn == nil {
 		return
 	}
 	if c.req.Method == "HEAD" {
 		body = ""
 	}
-	b := append(headOf(status, len(body), "Connection: close\r\n"), body...)
+	b := append(headOf(status, len(body), fields+"Connection: close\r\n"), body...)
 	if err := c.conn.Write(b); err == nil {
+		c.answered = true
+		c.finish()
+	}
+}
+
+// finish ends this side of the connection once all of the answer is written: sooner, what is left of it would be lost.
+func (c *caller) finish() {
+	if c.answered && !c.shut && c.conn.OutboundBuffered() == 0 {
+		c.shut = true
 		_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
 	}
 }
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"shalebeam/balance"
-	"shalebeam/scheduler/eventloop"
+	"shalebeam/scheduler/transient"
 )
 
 // What is open passes from a process that drains to the one that has taken over: one message is one
@@ -122,7 +122,7 @@
 	}
 	err = unix.Sendmsg(h.to, raw, unix.UnixRights(fds...), nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
 	if err != nil {
-		if !eventloop.Passing(err) {
+		if !transient.Error(err) {
 			h.s.log.Printf("msg=handover state=broken err=%q", err)
 			h.hangUp()
 		}
@@ -208,7 +208,7 @@
 	raw, oob := make([]byte, passMost), make([]byte, unix.CmsgSpace(4*passFds))
 	for {
 		n, m, flags, _, err := from.ReadMsgUnix(raw, oob)
-		if eventloop.Passing(err) {
+		if transient.Error(err) {
 			time.Sleep(time.Millisecond) // what was passed on still waits there
 			continue
 		}
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -24,6 +24,7 @@
 
 	"shalebeam/balance"
 	"shalebeam/scheduler/eventloop"
+	"shalebeam/scheduler/transient"
 )
 
 type phase int
@@ -42,6 +43,8 @@
 	drainMost = 3000.0
 	// Connections still come for a while after the signal: the front learns of it late.
 	drainLeast = 700.0
+	// How long a system call may fail for the moment before a start gives up.
+	startFor = 4 * time.Second
 	// How long the last answers may take to be written out.
 	flushFor = 300.0
 )
@@ -67,6 +70,7 @@
 	peers   peers
 	ops     ops
 	drive   drive
+	metrics metrics
 
 	handover handover
 }
@@ -82,6 +86,7 @@
 	s.roster.init(s)
 	s.peers.init(s)
 	s.ops.init(s)
+	s.metrics.init(s)
 	return s
 }
 
@@ -118,8 +123,15 @@
 	if err := s.listen(); err != nil {
 		return err
 	}
+	return s.serve()
+}
+
+// serve runs the loop until all is done.
+func (s *Scheduler) serve() error {
 	close(s.ready)
-	s.loop.Execute(func() { s.begin(); s.pull() })
+	// The loop runs on this goroutine, and nothing that comes may be seen to before the service has begun.
+	s.begin()
+	s.pull()
 	if err := s.loop.Run(); err != nil {
 		return s.endedEarly(err)
 	}
@@ -133,7 +145,7 @@
 func (s *Scheduler) listen() error {
 	if s.handover.others == 0 {
 		// Listeners share their address with another process of this scheduler, and so would do with any other program.
-		if err := eventloop.Persist(func() error { return free(s.node.Listen) }); err != nil {
+		if err := transient.Retry(startFor, transient.Error, func() error { return free(s.node.Listen) }); err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
 	}
@@ -196,7 +208,7 @@
 	s.phase = p
 }
 
-// begin starts serving, on the loop.
+// begin starts serving.
 func (s *Scheduler) begin() {
 	s.began = s.now()
 	s.roster.begin()
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -26,7 +26,8 @@
 	idlePart   = 0.5    // of the time after which workers close idle connections, and what comes then is lost
 	trustAgain = 5000.0 // see keptFor
 	tailFor    = 1000.0
-	streamMost = 256 << 10 // of notes and result of one posting
+	sendFor    = 100 * time.Millisecond // for a request to be written: deadlines told to workers have 0.15 s of slack
+	streamMost = 256 << 10              // of notes and result of one posting
 )
 
 var responseLimits = http1.Limits{Head: headMost, Body: streamMost}
@@ -344,6 +345,22 @@
 	l.writing = true
 	_ = l.conn.Write(b) // where it fails the connection is closed, and closed has told
 	l.writing = false
+	if p := l.p; l.unsent() {
+		l.s.loop.After(sendFor, func() { l.giveUpUnsent(p) })
+	}
+}
+
+// unsent tells whether some of the request has yet to be written.
+func (l *workerConn) unsent() bool {
+	return l.state == busy && l.conn != nil && l.conn.OutboundBuffered() > 0
+}
+
+// giveUpUnsent ends an attempt of which this machine still holds some: the time that it tells its worker is right no more.
+func (l *workerConn) giveUpUnsent(p *posting) {
+	if p != nil && l.p == p && l.unsent() {
+		l.end(balance.NeverSent)
+		l.close()
+	}
 }
 
 // abandon gives up the posting, and tells whether its request may have been written whole.
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -154,6 +154,37 @@
 	}
 }
 
+// What was not written whole of a txn that is over is given up at once, also where postings may not be called off: finished
+// later it would run for nobody.
+func TestWhatIsUnsentEndsWithItsTxn(t *testing.T) {
+	s, l := onceOnly(t)
+	c := &fakeConn{of: l}
+	l.opened(c)
+	c.unsent = 1
+	x := l.p.t
+	s.drive.gone(x)
+	if !c.ended || x.out != 0 || len(s.drive.txns) != 0 {
+		t.Errorf("connection ended %t, %d out", c.ended, x.out)
+	}
+}
+
+// A request that this machine can't write is given up before the time that it tells its worker is wrong; it never ran.
+func TestWhatIsUnsentForLongNeverRan(t *testing.T) {
+	s, l := onceOnly(t)
+	c := &fakeConn{of: l}
+	l.opened(c)
+	p := l.p
+	l.giveUpUnsent(p)
+	if c.ended {
+		t.Fatal("one that was written whole was given up")
+	}
+	c.unsent = 1
+	l.giveUpUnsent(p)
+	if !c.ended || p.conn != nil || s.reversed() {
+		t.Errorf("connection ended %t, posting %+v", c.ended, p)
+	}
+}
+
 // A worker that closes idle connections sooner than the settings say is believed for a while; postings were
 // written to connections that it had closed.
 func TestKeptConnectionsAreDistrusted(t *testing.T) {
