--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -33,6 +34,8 @@
 	lingerFor  = 1000.0  // for a client to read an answer before the connection is gone
 	// A question to the kernel that was interrupted, or found no memory, is asked again so often.
 	pollRepeats = 20
+	waitedFrom  = 5.0    // ms: less is the loop's ordinary work
+	leastLeft   = 1.0    // ms, of a request whose time is over by the time that it is read
 	sayEvery    = 1000.0 // a fault that comes with each connection is logged so often at the most
 )
 
@@ -346,9 +349,20 @@
 		c.answer(503, "declined\n", -1)
 		return
 	}
+	a.txn.Left = max(a.txn.Left-c.waited(), leastLeft)
 	c.t = c.s.drive.arrive(c, a)
 }
 
+// waited is for how long the request may have been there, unread: as clients could not be accepted, or their bytes not be read,
+// or this process stood still. Its time counts from its last byte.
+func (c *client) waited() float64 {
+	ms := float64(time.Since(c.conn.Since())) / float64(time.Millisecond)
+	if ms < waitedFrom {
+		return 0
+	}
+	return ms
+}
+
 // read makes a txn of the request's fields.
 func (c *client) read(scheme int) (a ask, wrong string) {
 	f := c.req.Fields()
--- a/scheduler/eventloop/conn.go
+++ b/scheduler/eventloop/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -16,6 +17,8 @@
 	// Write sends, or keeps what the system does not take yet. Where the connection turns out to have ended, it is closed within
 	// the call.
 	Write(b []byte) error
+	// Since is the earliest time at which the bytes that were read last may have come.
+	Since() time.Time
 	// InboundBuffered is how many bytes wait to be used.
 	InboundBuffered() int
 	// OutboundBuffered is how many bytes the system has not taken yet.
@@ -44,7 +47,7 @@
 
 // add watches a descriptor as a connection.
 func (l *Loop) add(fd int, context any) *conn {
-	c := &conn{l: l, fd: fd, context: context, open: true, interest: interest{l: l, fd: fd}}
+	c := &conn{l: l, fd: fd, context: context, open: true, interest: interest{l: l, fd: fd, since: time.Now()}}
 	l.watched[fd] = c
 	return c
 }
@@ -66,6 +69,7 @@
 func (c *conn) SetContext(context any) { c.context = context }
 func (c *conn) InboundBuffered() int   { return len(c.in) + len(c.fresh) }
 func (c *conn) OutboundBuffered() int  { return len(c.out) }
+func (c *conn) Since() time.Time       { return c.interest.since }
 
 func (c *conn) Peek() []byte {
 	if len(c.in) == 0 {
@@ -95,6 +99,7 @@
 // ready reads before it writes: what the other side sent before its end is still taken.
 func (c *conn) ready(events uint32) {
 	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		c.interest.readable()
 		c.read()
 	}
 	if c.open && events&unix.EPOLLOUT != 0 {
--- a/scheduler/eventloop/dial.go
+++ b/scheduler/eventloop/dial.go
@@ -44,7 +44,7 @@
 		d.trouble("socket", err)
 		return
 	}
-	d.fd, d.interest = fd, interest{l: d.l, fd: fd}
+	d.fd, d.interest = fd, interest{l: d.l, fd: fd, since: time.Now()}
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it all works, with some delay
 	switch err := d.connect(); err {
 	case nil, unix.EINPROGRESS:
--- a/scheduler/eventloop/listen.go
+++ b/scheduler/eventloop/listen.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -80,7 +81,7 @@
 	if err := persist(func() (err error) { s.fd, err = dup(bound); return err }); err != nil {
 		return nil, fmt.Errorf("%s: %w", addr, err)
 	}
-	s.interest = interest{l: l, fd: s.fd}
+	s.interest = interest{l: l, fd: s.fd, since: time.Now()}
 	l.watched[s.fd] = s
 	s.interest.set(unix.EPOLLIN)
 	return s, nil
@@ -127,6 +128,7 @@
 }
 
 func (s *Listener) accept() {
+	s.interest.readable()
 	fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	if err != nil {
 		s.l.failed("accept", err)
@@ -138,6 +140,7 @@
 		return
 	}
 	c := s.l.add(fd, nil)
+	c.interest.since = s.interest.since // what it brought may have waited with it
 	c.interest.set(unix.EPOLLIN)
 	s.l.handler.Accepted(c, s)
 }
--- a/scheduler/eventloop/loop.go
+++ b/scheduler/eventloop/loop.go
@@ -20,8 +20,9 @@
 const (
 	readSize       = 64 << 10 // bytes taken from a socket in one turn
 	eventsPerTurn  = 128
-	retryDelay     = 5 * time.Millisecond // between two tries of a call that failed for want of a resource
-	longestTurn    = time.Second          // a wake-up that got lost is made good after this
+	retryDelay     = 5 * time.Millisecond  // between two tries of a call that failed for want of a resource
+	heldUp         = 10 * time.Millisecond // by so much no call comes back late, unless the process stood still
+	longestTurn    = time.Second           // a wake-up that got lost is made good after this
 	listenQueueMax = 4096
 )
 
@@ -50,6 +51,9 @@
 	timers   timers
 	failures map[Failure]uint64
 	stopping bool
+	turn     uint64
+	returned time.Time // when epoll last told what is ready
+	quiet    time.Time // what is ready in this turn, and was not in the last one, came no sooner
 
 	mu       sync.Mutex
 	tasks    []func()
@@ -92,11 +96,15 @@
 func (l *Loop) Run() error {
 	defer l.release()
 	events := make([]unix.EpollEvent, eventsPerTurn)
+	l.returned = time.Now()
 	for !l.stopping {
-		n, err := unix.EpollWait(l.epoll, events, l.patience())
+		patience := l.patience()
+		called := time.Now()
+		n, err := unix.EpollWait(l.epoll, events, patience)
 		if err != nil && l.failed("epoll_wait", err) == fatal {
 			return fmt.Errorf("epoll_wait: %w", err)
 		}
+		l.took(called, time.Now(), time.Duration(patience)*time.Millisecond)
 		for i := 0; i < n && !l.stopping; i++ {
 			if s, ok := l.watched[int(events[i].Fd)]; ok { // else it was closed earlier in this turn
 				s.ready(events[i].Events)
@@ -108,6 +116,21 @@
 	return nil
 }
 
+// took notes how long epoll waited. Where it waited at all, what is ready came just now. Where it returned at once, it may have
+// come while the last turn ran; and where it returned late this process was held up, and it may have come at any time since.
+func (l *Loop) took(called, now time.Time, patience time.Duration) {
+	l.turn++
+	switch waited := now.Sub(called); {
+	case waited > patience+heldUp:
+		l.quiet = called
+	case waited > heldUp/10:
+		l.quiet = now
+	default:
+		l.quiet = l.returned
+	}
+	l.returned = now
+}
+
 // Stop ends Run after the callback that calls it.
 func (l *Loop) Stop() { l.stopping = true }
 
@@ -235,6 +258,16 @@
 	events uint32 // that it reports
 	want   uint32 // that it is to report
 	retry  *Timer
+	turn   uint64    // when there last was something to read, or epoll was first asked for it
+	since  time.Time // the earliest that this may have come
+}
+
+// readable notes that there is something to read.
+func (i *interest) readable() {
+	if i.turn+1 != i.l.turn { // epoll was asked in between, and knew of nothing
+		i.since = i.l.quiet
+	}
+	i.turn = i.l.turn
 }
 
 func (i *interest) set(events uint32) {
@@ -256,6 +289,9 @@
 		i.retry = i.l.After(retryDelay, i.apply)
 		return
 	}
+	if i.want&^i.events&unix.EPOLLIN != 0 {
+		i.turn = i.l.turn
+	}
 	i.in, i.events = true, i.want
 }
 
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"testing"
 	"testing/quick"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -31,6 +32,7 @@
 
 func (c *fakeConn) OutboundBuffered() int { return c.unsent }
 func (c *fakeConn) Peek() []byte          { return c.in }
+func (c *fakeConn) Since() time.Time      { return time.Now() }
 func (c *fakeConn) Discard(n int)         { c.in = c.in[n:] }
 func (c *fakeConn) Fd() int {
 	if c.sock == 0 {
