--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -311,6 +311,7 @@
 	Workers   map[string]record `json:"workers"`
 	Start     string            `json:"start,omitempty"`  // of the scheduler that wrote it last
 	Fences    map[string]uint64 `json:"fences,omitempty"` // see fleet
+	Boot      float64           `json:"boot,omitempty"`   // of the clock that its times are by; see clock
 }
 
 const recordsForm = "workers out, 1"
@@ -371,6 +372,7 @@
 	if in.Shalebeam != recordsForm || in.Workers == nil {
 		return nil, fmt.Errorf("not a file of who is out")
 	}
+	in.shift(h.s.clock.shiftFrom(in.Boot))
 	return in, nil
 }
 
@@ -400,6 +402,7 @@
 			all.Workers[id] = o
 		}
 	}
+	all.Boot = h.s.clock.boot
 	all.Shalebeam, all.Start, all.Fences = recordsForm, h.s.ops.fleet.start, h.known(all.Fences)
 	if !change(all) {
 		return nil
@@ -423,6 +426,19 @@
 	return nil
 }
 
+// shift brings all times to another scale.
+func (in *records) shift(by float64) {
+	for id, r := range in.Workers {
+		if r.Since > 0 {
+			r.Since += by
+		}
+		if r.Back > 0 {
+			r.Back += by
+		}
+		in.Workers[id] = r
+	}
+}
+
 // known puts the numbers that this process has seen among those of the file.
 func (h *handover) known(in map[string]uint64) map[string]uint64 {
 	out := maps.Clone(in)
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -21,12 +21,14 @@
 const (
 	passMost = 200 << 10 // a message; what is larger stays
 	passFds  = 16
-	clockOff = 1000.0 // processes read one clock; were it set between their starts, times are moved by that
+	// Of a process that does not tell its clock: were the wall clock set between their starts, times are moved by that.
+	clockOff = 1000.0
 )
 
 // passed is one message. Its descriptors are the client's, then those of the postings that are out, in order.
 type passed struct {
 	Now  float64
+	Boot float64 // of the sender's clock
 	Used bool
 	Txn  *passedTxn `json:",omitempty"`
 }
@@ -90,7 +92,7 @@
 
 // giveOne passes on one connection, and tells whether the way is open for more.
 func (h *handover) giveOne(c *client) bool {
-	m := passed{Now: h.s.now(), Used: c.used}
+	m := passed{Now: h.s.now(), Boot: h.s.clock.boot, Used: c.used}
 	fds := []int{c.conn.Fd()}
 	if t := c.t; t != nil {
 		known, ok := h.s.drive.mod.Open(t.ref)
@@ -288,8 +290,8 @@
 		c.close() // it has left meanwhile; what ran for it ends with its connection
 		return conns
 	}
-	off := 0.0
-	if late := now - m.Now; late < 0 || late > clockOff {
+	off := d.s.clock.shiftFrom(m.Boot)
+	if late := now - m.Now; m.Boot == 0 && (late < 0 || late > clockOff) {
 		off = late
 	}
 	k := &x.Known
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -58,8 +58,7 @@
 	loop      *eventloop.Loop
 	clientsAt *eventloop.Listener
 	ready     chan struct{} // closed once there is a loop, or Run has ended without one
-	origin    time.Time
-	wall      float64 // at origin, Unix time in milliseconds
+	clock     clock
 	drainBy   float64
 	drained   float64 // when the drain began
 	began     float64 // when it began to take clients
@@ -77,8 +76,7 @@
 
 // New returns a scheduler for this node, which logs its phases and faults.
 func New(n *Node, l *log.Logger) *Scheduler {
-	s := &Scheduler{node: n, log: l, ready: make(chan struct{}), origin: time.Now()}
-	s.wall = float64(s.origin.UnixNano()) / 1e6
+	s := &Scheduler{node: n, log: l, ready: make(chan struct{}), clock: newClock()}
 	s.handover.init(s)
 	s.drive.init(s, balance.New(n.told.Terms))
 	s.clients.init(s)
@@ -90,11 +88,7 @@
 	return s
 }
 
-// now is the wall clock's time at the start, moved on by the monotonic clock: workers' starts are told in
-// wall time, yet no span may change when that clock is set.
-func (s *Scheduler) now() float64 {
-	return s.wall + float64(time.Since(s.origin))/float64(time.Millisecond)
-}
+func (s *Scheduler) now() float64 { return s.clock.now() }
 
 // Run serves until ctx is done and what was taken is answered.
 func (s *Scheduler) Run(ctx context.Context) error {
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -32,6 +32,7 @@
 	failed  bool  // the last watch failed, and that is logged
 	unheard bool  // the list may not be relied on, and where it could be that is logged
 	counted bool  // it could be once
+	starts  starts
 }
 
 // readyFor is how long a new process waits for a list that counts, until it says that it serves in any case: a front
@@ -74,6 +75,7 @@
 
 func (r *roster) init(s *Scheduler) {
 	*r = roster{s: s, addr: s.node.Discovery, watch: watch.New(math.Inf(1), 0, 0)}
+	r.starts.init()
 }
 
 // begin takes the list that the configuration brought.
@@ -292,6 +294,8 @@
 }
 
 func (r *roster) take(in members) {
+	now := r.s.now()
+	r.starts.looked(r.s.clock.drift())
 	rows := make([]balance.Listed, 0, len(in.Hosts))
 	var gone []string
 	var first error
@@ -317,7 +321,7 @@
 			state = balance.Draining // nothing is sent to a worker in a state that is not known
 		}
 		row := balance.Listed{ID: e.Host, Cell: e.Block, Zone: place(r.s.node.told.Zones, e.Site),
-			Kind: place(r.s.node.told.Kinds, e.Class), State: state, Start: e.Born, Weight: e.Share}
+			Kind: place(r.s.node.told.Kinds, e.Class), State: state, Start: r.starts.at(now, e.Host, e.Born), Weight: e.Share}
 		if twice {
 			rows[at].State = state
 		} else {
@@ -326,6 +330,7 @@
 		}
 		if state == balance.Removed {
 			gone = append(gone, e.Host)
+			r.starts.forget(e.Host)
 			continue
 		}
 		if t := r.s.pool.target(e.Host); err != nil && t != nil {
@@ -339,7 +344,10 @@
 	if bad > 0 {
 		r.s.log.Printf("msg=malformed from=discovery entries=%d first=%q", bad, first)
 	}
-	r.s.drive.mod.ListChanged(r.s.now(), in.Whole, rows)
+	if in.Whole {
+		r.starts.keep(kept)
+	}
+	r.s.drive.mod.ListChanged(now, in.Whole, rows)
 	r.s.pool.forget(gone, in.Whole, kept)
 }
 
