--- a/agent/act_test.go
+++ b/agent/act_test.go
@@ -2,12 +2,43 @@
 
 import (
 	"context"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"shalebeam/fleet"
+	"shalebeam/quorum"
 )
 
+// A halt that the disk does not take is answered with a no, also when it is told again; once the disk takes it, with a yes.
+// (Told again it was answered with a yes, and forgotten by a restart.)
+func TestAHaltIsAcknowledgedOnceItIsKept(t *testing.T) {
+	disk := quorum.NewMemory()
+	a := &Agent{log: slog.New(slog.DiscardHandler), file: &File{}}
+	a.runs = &runs{a: a, disk: disk, kept: kept{Doer: fleet.NewDoer("x")}}
+	tell := func() int {
+		w := httptest.NewRecorder()
+		a.haltHere(w, httptest.NewRequest("POST", "/v1/halt", strings.NewReader(`{"of":"fleet","by":"staff","why":"test"}`)))
+		return w.Code
+	}
+	for _, disk.Fails = range []error{unix.ENOSPC, unix.EIO, unix.EIO} {
+		if got := tell(); got != 503 {
+			t.Errorf("%v: %d", disk.Fails, got)
+		}
+	}
+	disk.Fails = nil
+	if got := tell(); got != 200 {
+		t.Errorf("the disk takes it: %d", got)
+	}
+	if raw, err := disk.Copy().Read(runsName); err != nil || !strings.Contains(string(raw), `"fleet"`) {
+		t.Errorf("kept is %s %v", raw, err)
+	}
+}
+
 // A call for a step that was begun is answered as soon as that is over. (It was answered at once, and asked again 0.1 s later.)
 func TestACallWaitsForItsStep(t *testing.T) {
 	r := &runs{all: map[string]*runner{"s0": {}}, kept: kept{Doer: fleet.NewDoer("x")}, moved: make(chan struct{})}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,6 +22,7 @@
 
 	"shalebeam/fleet"
 	"shalebeam/quorum"
+	"shalebeam/scheduler/transient"
 )
 
 const (
@@ -30,6 +31,7 @@
 	callMost     = time.Second          // of a call to a scheduler or an agent
 	pollMost     = time.Second          // that a call for news waits for some
 	doMost       = 3 * time.Second      // that a command waits for what comes of it
+	startFor     = 4 * time.Second      // for a call of the system that fails for the moment
 	commandsMost = 32                   // of an operation, begun at once
 	callsMost    = 32                   // to schedulers at once, of one matter
 	goneFor      = 3000.0               // ms: an agent that was not heard for so long counts as absent
@@ -81,7 +83,11 @@
 		owner: fleet.OwnerOf(f.Name, start), rec: fleet.NewRecord(), absent: map[string]bool{},
 		duty: fleet.NewDuty(f.Name, start, float64(f.Term)/1e6), has: map[string]*charge{}, heard: map[string]float64{},
 		asking: map[string]bool{}, news: make(chan struct{}, 1)}
-	listener, err := net.Listen("tcp", f.Listen)
+	var listener net.Listener
+	err := transient.Retry(startFor, transient.Error, func() (err error) {
+		listener, err = net.Listen("tcp", f.Listen)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -113,7 +119,7 @@
 	}
 	server := &http.Server{Handler: a.routes(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 		MaxHeaderBytes: 16 << 10}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(transient.Listener(listener)) }()
 	defer server.Close()
 	l.Info("agent runs", "name", f.Name, "addr", a.addr, "owner", a.owner, "voter", f.voter() != nil)
 	go a.follow(ctx)
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -76,6 +76,7 @@
 	data    string
 	mu      sync.Mutex
 	kept    kept
+	unkept  bool // the disk has yet to take what changed last
 	all     map[string]*runner
 	tidied  time.Time
 	http    *http.Client    // to this machine's own processes
@@ -322,11 +323,17 @@
 	return p
 }
 
-// keep writes what must not be forgotten, and returns once it is.
+// keep writes what must not be forgotten, and returns once it is. Where that fails it is tried again at the next step.
 func (r *runs) keep() error {
 	if r.disk == nil {
 		return errors.New("this agent has no data folder")
 	}
+	err := r.write()
+	r.unkept = err != nil
+	return err
+}
+
+func (r *runs) write() error {
 	raw, err := json.Marshal(&r.kept)
 	if err != nil {
 		return err
@@ -453,7 +460,7 @@
 	r.a.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.kept.Doer.Lifted(rec) {
+	if r.kept.Doer.Lifted(rec) || r.unkept {
 		r.mustKeep()
 	}
 	for _, l := range r.a.file.Scheduler {
@@ -497,8 +504,12 @@
 	if r.disk == nil {
 		return // halts told here hold while it lives, as it said
 	}
-	if err := r.keep(); err != nil {
+	was := r.unkept
+	switch err := r.keep(); {
+	case err != nil && !was:
 		r.a.log.Error("not kept", "err", err)
+	case err == nil && was:
+		r.a.log.Info("kept again")
 	}
 }
 
@@ -865,9 +876,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h.No = 0
-	if _, there := r.kept.Doer.Halts[h.Of]; !there {
+	_, there := r.kept.Doer.Halts[h.Of]
+	if !there {
 		r.kept.Doer.Halts[h.Of] = h
 		a.log.Warn("halted here", "of", h.Of, "by", h.By, "why", h.Why)
+	}
+	if !there || r.unkept {
 		if err := r.keep(); err != nil {
 			refuse(w, 503, "halted here, and it could not be kept over a restart: "+err.Error())
 			return
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -196,8 +197,12 @@
 	go func() {
 		for {
 			c, err := l.AcceptUnix()
+			if errors.Is(err, net.ErrClosed) {
+				return // this process is alone
+			}
 			if err != nil {
-				return // it is closed once this process is alone
+				time.Sleep(time.Millisecond)
+				continue
 			}
 			go h.take1(c)
 		}
