--- a/cmd/shalebeam/faults_test.go
+++ b/cmd/shalebeam/faults_test.go
@@ -279,6 +279,48 @@
 	s.ended()
 }
 
+// A limit on descriptors that is lower for a moment, just as the bounds are reckoned anew, bounds nothing for good.
+func TestABoundOutlivesALimitOfTheMoment(t *testing.T) {
+	t.Parallel()
+	h := newHouse(t)
+	first := h.start()
+	second := h.start()
+	h.logs("company others=1", 2)
+	var before unix.Rlimit
+	if err := unix.Prlimit(first.cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
+		t.Fatal(err)
+	}
+	low := unix.Rlimit{Cur: 5, Max: before.Max}
+	if err := unix.Prlimit(first.cmd.Process.Pid, unix.RLIMIT_NOFILE, &low, nil); err != nil {
+		t.Fatal(err)
+	}
+	second.cmd.Process.Kill()
+	<-second.exit
+	h.logs("company others=0", 1)
+	time.Sleep(200 * time.Millisecond)
+	if err := unix.Prlimit(first.cmd.Process.Pid, unix.RLIMIT_NOFILE, &before, nil); err != nil {
+		t.Fatal(err)
+	}
+	h.load(40)
+	time.Sleep(500 * time.Millisecond)
+	close(h.done)
+	h.busy.Wait()
+	if h.answered.Load() < 100 || h.lost.Load()+h.refused.Load() > 0 {
+		t.Errorf("answered %d, lost %d, refused, reset or unread %d: %v", h.answered.Load(), h.lost.Load(), h.refused.Load(),
+			h.last.Load())
+	}
+}
+
+// logs waits until the processes' log has a text so many times.
+func (h *house) logs(text string, n int) {
+	h.t.Helper()
+	for end := time.Now().Add(patience); strings.Count(h.log.String(), text) < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			h.t.Fatalf("the log never has %q %d times", text, n)
+		}
+	}
+}
+
 // kept is a client's connection that stays.
 type kept struct {
 	s    *stage
--- a/lab/sysfault/sysfault.go
+++ b/lab/sysfault/sysfault.go
@@ -59,8 +59,9 @@
 // Rule says which calls fail, and how.
 type Rule struct {
 	Call  Call
-	Kind  Kind   // of the first descriptor that the call names
-	Path  string // a part of the path that the call or its descriptor names
+	Kind  Kind         // of the first descriptor that the call names
+	Path  string       // a part of the path that the call or its descriptor names
+	Peers map[int]bool // of a connection: the ports that its other end may have; nil: any
 	Errno unix.Errno
 	Short int           // a read or write on a socket moves at most so many bytes, where it is above 0
 	Delay time.Duration // the call waits for so long before it is carried out
@@ -343,6 +344,9 @@
 	case Socket:
 		return n.args[0] != unix.AF_UNIX
 	}
+	if rule.Peers != nil {
+		return rule.Peers[t.peerPort(fd)]
+	}
 	if rule.Kind == AnyKind {
 		return true
 	}
@@ -350,6 +354,21 @@
 	return err == nil && strings.HasPrefix(name, string(rule.Kind)) && strings.Contains(name, rule.Path)
 }
 
+// peerPort is the port at the other end of a connection of the process, -1 where there is none.
+func (t *Tracer) peerPort(fd int) int {
+	own, err := unix.PidfdGetfd(t.pidfd, fd, 0)
+	if err != nil {
+		return -1
+	}
+	defer unix.Close(own)
+	if peer, err := unix.Getpeername(own); err == nil {
+		if at, ok := peer.(*unix.SockaddrInet4); ok {
+			return at.Port
+		}
+	}
+	return -1
+}
+
 // local tells whether a connect is to a Unix socket.
 func (t *Tracer) local(n *notification) bool {
 	family := make([]byte, 2)
--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -61,21 +62,22 @@
 
 // client is one such connection. It carries one request at a time.
 type client struct {
-	s     *Scheduler
-	conn  eventloop.Conn // nil once it is closed
-	at    int            // its place in all
-	req   http1.Request
-	t     *txn    // the one that its answer is owed for
-	since float64 // when its present state began, or when part of a request last came
-	from  float64 // when the request began to come
-	used  bool    // a txn of it was answered, so it is a usual client's and not a silent one
-	full  bool    // taken beyond the bound: its request is declined at once
-	begun bool    // part of a request has come
-	reads bool    // traffic is at work on it
-	held  int     // bytes of its request's body
-	last  bool    // the connection ends after this answer
-	ends  bool    // the last answer is being written
-	shut  bool    // the answer was written, and no more goes out
+	s        *Scheduler
+	conn     eventloop.Conn // nil once it is closed
+	at       int            // its place in all
+	req      http1.Request
+	t        *txn    // the one that its answer is owed for
+	since    float64 // when its present state began, or when part of a request last came
+	from     float64 // when the request began to come
+	used     bool    // a txn of it was answered, so it is a usual client's and not a silent one
+	full     bool    // taken beyond the bound: its request is declined at once
+	begun    bool    // part of a request has come
+	reads    bool    // traffic is at work on it
+	held     int     // bytes of its request's body
+	last     bool    // the connection ends after this answer
+	ends     bool    // the last answer is being written
+	shut     bool    // the answer was written, and no more goes out
+	departed bool    // its other side has closed it, which the loop has yet to read
 
 	passed bool // another process of this scheduler passed it on
 }
@@ -110,12 +112,17 @@
 	if n <= 0 {
 		n = socketsUntold
 	}
-	n = max(s.handover.part(n), fewestSockets)
+	return int(min(uint64(max(s.handover.part(n), fewestSockets)), s.descriptors))
+}
+
+// descriptorLimit is the system's limit on this process. It is asked for once: what is bounded by it must not follow one that
+// is lower for a moment.
+func descriptorLimit() uint64 {
 	var own unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err == nil {
-		n = int(min(uint64(n), own.Cur))
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil {
+		return math.MaxInt
 	}
-	return n
+	return own.Cur
 }
 
 func (cs *clients) accept(conn eventloop.Conn) {
@@ -212,6 +219,12 @@
 	return false
 }
 
+// leave takes that the client has left, though the loop has yet to read that.
+func (c *client) leave() {
+	c.departed = true
+	c.close()
+}
+
 func (c *client) close() {
 	if c.conn != nil {
 		c.conn.Close()
@@ -223,7 +236,7 @@
 
 func (c *client) closed(_ eventloop.Conn, err error) {
 	cs := &c.s.clients
-	if c.t != nil && endedByPeer(err) {
+	if c.t != nil && (c.departed || endedByPeer(err)) {
 		cs.s.metrics.left++
 	} else if c.t != nil {
 		cs.s.metrics.unanswered++
--- a/scheduler/eventloop/dial.go
+++ b/scheduler/eventloop/dial.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -13,6 +14,9 @@
 	connectRepeats = 10                     // of a connect that is interrupted, in one turn
 )
 
+// ErrLocal marks an error of this machine: nothing was learned of the other side.
+var ErrLocal = errors.New("a system call failed here")
+
 // dialer makes one connection. It is watched in place of the connection until that is up.
 type dialer struct {
 	l        *Loop
--- a/scheduler/eventloop/loop.go
+++ b/scheduler/eventloop/loop.go
@@ -8,7 +8,6 @@
 
 import (
 	"container/heap"
-	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -18,12 +17,12 @@
 )
 
 const (
-	readSize       = 64 << 10 // bytes taken from a socket in one turn
-	eventsPerTurn  = 128
-	retryDelay     = 5 * time.Millisecond  // between two tries of a call that failed for want of a resource
-	heldUp         = 10 * time.Millisecond // by so much no call comes back late, unless the process stood still
-	longestTurn    = time.Second           // a wake-up that got lost is made good after this
-	listenQueueMax = 4096
+	readSize      = 64 << 10 // bytes taken from a socket in one turn
+	eventsPerTurn = 128
+	retryDelay    = 5 * time.Millisecond  // between two tries of a call that failed for want of a resource
+	heldUp        = 10 * time.Millisecond // by so much no call comes back late, unless the process stood still
+	atOnce        = 2 * time.Millisecond  // a call that takes longer had to wait
+	longestTurn   = time.Second           // a wake-up that got lost is made good after this
 )
 
 // Handler is told of what happens, on the loop's goroutine.
@@ -54,6 +53,7 @@
 	turn     uint64
 	returned time.Time // when epoll last told what is ready
 	quiet    time.Time // what is ready in this turn, and was not in the last one, came no sooner
+	waited   bool      // epoll had to wait before this turn, so that nothing was ready before
 
 	mu       sync.Mutex
 	tasks    []func()
@@ -120,10 +120,12 @@
 // come while the last turn ran; and where it returned late this process was held up, and it may have come at any time since.
 func (l *Loop) took(called, now time.Time, patience time.Duration) {
 	l.turn++
-	switch waited := now.Sub(called); {
-	case waited > patience+heldUp:
+	took := now.Sub(called)
+	l.waited = took > atOnce
+	switch {
+	case took > patience+heldUp:
 		l.quiet = called
-	case waited > heldUp/10:
+	case l.waited:
 		l.quiet = now
 	default:
 		l.quiet = l.returned
@@ -264,7 +266,7 @@
 
 // readable notes that there is something to read.
 func (i *interest) readable() {
-	if i.turn+1 != i.l.turn { // epoll was asked in between, and knew of nothing
+	if i.l.waited || i.turn+1 != i.l.turn { // epoll was asked in between, and knew of nothing
 		i.since = i.l.quiet
 	}
 	i.turn = i.l.turn
@@ -339,6 +341,3 @@
 		}
 	}
 }
-
-// ErrLocal marks an error of this machine: nothing was learned of the other side.
-var ErrLocal = errors.New("a system call failed here")
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -54,14 +54,15 @@
 	node *Node
 	log  *log.Logger
 
-	phase     phase
-	loop      *eventloop.Loop
-	clientsAt *eventloop.Listener
-	ready     chan struct{} // closed once there is a loop, or Run has ended without one
-	clock     clock
-	drainBy   float64
-	drained   float64 // when the drain began
-	began     float64 // when it began to take clients
+	phase       phase
+	loop        *eventloop.Loop
+	clientsAt   *eventloop.Listener
+	ready       chan struct{} // closed once there is a loop, or Run has ended without one
+	clock       clock
+	descriptors uint64 // that the system lets the process have
+	drainBy     float64
+	drained     float64 // when the drain began
+	began       float64 // when it began to take clients
 
 	clients clients
 	pool    pool
@@ -76,7 +77,8 @@
 
 // New returns a scheduler for this node, which logs its phases and faults.
 func New(n *Node, l *log.Logger) *Scheduler {
-	s := &Scheduler{node: n, log: l, ready: make(chan struct{}), clock: newClock()}
+	s := &Scheduler{node: n, log: l, ready: make(chan struct{}), clock: newClock(),
+		descriptors: descriptorLimit()}
 	s.handover.init(s)
 	s.drive.init(s, balance.New(n.told.Terms))
 	s.clients.init(s)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -309,7 +309,7 @@
 // send writes the request. Nothing is ever sent again without the module asking for it.
 func (l *workerConn) send() {
 	if p := l.p; p != nil && p.t.from != nil && p.t.from.left() {
-		p.t.from.close() // with it its txn is over, and the module may call this posting off
+		p.t.from.leave() // with it its txn is over, and the module may call this posting off
 	}
 	if l.p == nil && !l.probing || !l.may(l.s.now()) {
 		l.end(balance.NeverSent)
