--- a/cmd/shalebeam/soak_test.go
+++ b/cmd/shalebeam/soak_test.go
@@ -246,7 +246,8 @@
 		for i, a := range q.attempts {
 			room := soakSlack + d.late(q.sent, a.at)
 			if left := q.sent.Add(q.wait).Sub(a.at); a.told > left+deadlineRoom+room {
-				d.broke("deadline", "%s: worker %s was told %v, and %v were left", q.id, a.worker, a.told, left)
+				d.broke("deadline", "%s: worker %s was told %v at %.3f by n%d, and %v were left; it was sent at %.3f", q.id, a.worker,
+					a.told, a.at.Sub(d.begun).Seconds(), q.node.no, left, q.sent.Sub(d.begun).Seconds())
 			}
 			if !q.ended.IsZero() && a.at.After(q.ended.Add(leaveSlack+soakSlack+d.late(q.ended, a.at))) {
 				d.broke("lost", "%s: an attempt at %s begins %v after its end (%s)", q.id, a.worker, a.at.Sub(q.ended), q.how)
--- a/scheduler/eventloop/loop.go
+++ b/scheduler/eventloop/loop.go
@@ -21,7 +21,6 @@
 	eventsPerTurn = 128
 	retryDelay    = 5 * time.Millisecond  // between two tries of a call that failed for want of a resource
 	heldUp        = 10 * time.Millisecond // by so much no call comes back late, unless the process stood still
-	atOnce        = 2 * time.Millisecond  // a call that takes longer had to wait
 	longestTurn   = time.Second           // a wake-up that got lost is made good after this
 )
 
@@ -98,13 +97,10 @@
 	events := make([]unix.EpollEvent, eventsPerTurn)
 	l.returned = time.Now()
 	for !l.stopping {
-		patience := l.patience()
-		called := time.Now()
-		n, err := unix.EpollWait(l.epoll, events, patience)
+		n, err := l.wait(events)
 		if err != nil && l.failed("epoll_wait", err) == fatal {
 			return fmt.Errorf("epoll_wait: %w", err)
 		}
-		l.took(called, time.Now(), time.Duration(patience)*time.Millisecond)
 		for i := 0; i < n && !l.stopping; i++ {
 			if s, ok := l.watched[int(events[i].Fd)]; ok { // else it was closed earlier in this turn
 				s.ready(events[i].Events)
@@ -116,21 +112,23 @@
 	return nil
 }
 
-// took notes how long epoll waited. Where it waited at all, what is ready came just now. Where it returned at once, it may have
-// come while the last turn ran; and where it returned late this process was held up, and it may have come at any time since.
-func (l *Loop) took(called, now time.Time, patience time.Duration) {
+// wait begins a turn: it asks epoll what is ready, and waits where nothing is. It notes since when that may have been so.
+func (l *Loop) wait(events []unix.EpollEvent) (n int, err error) {
 	l.turn++
-	took := now.Sub(called)
-	l.waited = took > atOnce
-	switch {
-	case took > patience+heldUp:
-		l.quiet = called
-	case l.waited:
-		l.quiet = now
-	default:
-		l.quiet = l.returned
+	l.waited = false
+	if n, err = unix.EpollWait(l.epoll, events, 0); n != 0 {
+		l.quiet, l.returned = l.returned, time.Now() // it may have come while the last turn ran
+		return n, err
 	}
-	l.returned = now
+	patience := l.patience()
+	l.waited = true
+	called := time.Now()
+	n, err = unix.EpollWait(l.epoll, events, patience)
+	l.returned = time.Now()
+	if l.quiet = l.returned; l.returned.Sub(called) > time.Duration(patience)*time.Millisecond+heldUp {
+		l.quiet = called // the process stood still, and it may have come at any time since
+	}
+	return n, err
 }
 
 // Stop ends Run after the callback that calls it.
