--- a/cmd/shalebeam/soak_test.go
+++ b/cmd/shalebeam/soak_test.go
@@ -556,6 +556,7 @@
 	conn    net.Conn
 	answers chan soakAnswer
 	used    bool
+	story   []string // of its requests, the last ones
 }
 
 type soakAnswer struct {
@@ -679,6 +680,8 @@
 		return false
 	}
 	l.used = true
+	l.story = append(l.story, fmt.Sprintf("%s sent at %.3f, %s at %.3f", q.id, q.sent.Sub(d.begun).Seconds(), q.how,
+		a.at.Sub(d.begun).Seconds()))
 	switch {
 	case a.status == 200:
 		if !slices.ContainsFunc(q.attempts, func(x *soakAttempt) bool { return x.result == a.body }) {
@@ -692,7 +695,7 @@
 			}
 		}
 	case a.status != 502:
-		d.broke("lost", "%s: answered %d %s", q.id, a.status, a.body)
+		d.broke("lost", "%s: answered %d %q; on this connection: %s", q.id, a.status, a.body, strings.Join(l.story, "; "))
 	}
 	return !a.last
 }
--- a/lab/sysfault/sysfault.go
+++ b/lab/sysfault/sysfault.go
@@ -259,12 +259,19 @@
 )
 
 func (t *Tracer) ioctl(request uintptr, argument unsafe.Pointer) error {
-	if _, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(t.listener), request, uintptr(argument)); errno != 0 {
+	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(t.listener), request, uintptr(argument))
+	if errno != 0 {
 		return errno
 	}
 	return nil
 }
 
+// answer sends a decision. An interrupted call is made again: the process waits for it.
+func (t *Tracer) answer(out *response) {
+	for t.ioctl(ioctlSend, unsafe.Pointer(out)) == unix.EINTR {
+	}
+}
+
 // serve answers notifications until the process has ended.
 func (t *Tracer) serve() {
 	defer close(t.done)
@@ -295,14 +302,14 @@
 	switch {
 	case !matched:
 	case rule.Delay > 0:
-		time.AfterFunc(rule.Delay, func() { t.ioctl(ioctlSend, unsafe.Pointer(out)) })
+		time.AfterFunc(rule.Delay, func() { t.answer(out) })
 		return
 	case rule.Short > 0:
 		t.shorten(n, rule.Short, out)
 	case rule.Errno != 0:
 		out.flags, out.errno = 0, -int32(rule.Errno)
 	}
-	t.ioctl(ioctlSend, unsafe.Pointer(out)) // fails where the process was killed meanwhile
+	t.answer(out)
 }
 
 // match finds the rule that this call falls under, if any, and counts it.
--- /dev/null
+++ b/lab/sysfault/sysfault_test.go
@@ -0,0 +1,129 @@
+//go:build linux
+
+package sysfault
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const echoVariable = "SYSFAULT_TEST_ECHO"
+
+func TestMain(m *testing.M) {
+	Launch()
+	if addr := os.Getenv(echoVariable); addr != "" {
+		if err := echo(addr); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// echo is the program under test: it sends back what it reads, on several connections, while the collector runs.
+func echo(addr string) error {
+	go func() {
+		for {
+			runtime.GC()
+		}
+	}()
+	ended := make(chan error)
+	for range echoes {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return err
+		}
+		go func() {
+			_, err := io.Copy(struct{ io.Writer }{c}, struct{ io.Reader }{c})
+			c.Close()
+			ended <- err
+		}()
+	}
+	for range echoes {
+		if err := <-ended; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const echoes = 4
+
+// Short reads and writes lose, double and change nothing, also while signals interrupt the process and this one.
+func TestShortReadsAndWritesKeepTheStream(t *testing.T) {
+	for name, rules := range map[string][]Rule{
+		"short reads":  {{Call: Read, Kind: Sockets, Short: 11}},
+		"short writes": {{Call: Write, Kind: Sockets, Short: 11}},
+		"interrupted":  {{Call: Read, Kind: Sockets, Errno: unix.EINTR, Every: 2}, {Call: Write, Kind: Sockets, Short: 7}},
+	} {
+		t.Run(name, func(t *testing.T) { streams(t, rules) })
+	}
+}
+
+func streams(t *testing.T, rules []Rule) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), echoVariable+"="+listener.Addr().String())
+	cmd.Stderr = os.Stderr
+	tracer, err := Start(cmd, os.Args[0], []Call{Read, Write}, rules...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	done := make(chan error, echoes)
+	for range echoes {
+		c, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(time.Minute))
+		go func() { done <- roundTrip(c) }()
+	}
+	for range echoes {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	if tracer.Failed() < 1000 {
+		t.Errorf("only %d calls were shortened", tracer.Failed())
+	}
+}
+
+// roundTrip sends numbers and checks that they come back in order.
+func roundTrip(c net.Conn) error {
+	defer c.Close()
+	const numbers = 4000
+	go func() {
+		for i := range numbers {
+			fmt.Fprintf(c, "%08d\n", i)
+		}
+		c.(*net.TCPConn).CloseWrite()
+	}()
+	got, err := io.ReadAll(c)
+	if err != nil {
+		return err
+	}
+	for i := range numbers {
+		want := fmt.Sprintf("%08d\n", i)
+		if at := i * len(want); at+len(want) > len(got) || string(got[at:at+len(want)]) != want {
+			return fmt.Errorf("number %d of %d: %.40q", i, numbers, got[min(at, len(got)):])
+		}
+	}
+	return nil
+}
