--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -1,9 +1,9 @@
 // Package scheduler is a scheduler on sockets: it takes txns from clients over HTTP, posts them to workers
 // and answers. Every choice of where and when is balance's; this package only carries out what it decides.
 // All of it runs on one event loop, which owns the module and all state, so there are no locks. It has a file
-// a job: node (what a scheduler is told), phases (this one), clients, pool (connections to workers), roster
-// (discovery), peers (datagrams among schedulers), ops (the second address), handover (two
-// processes of one scheduler) and drive, which pulls the module's decisions.
+// a job: node (what a scheduler is told), phases (this one), clients, request (what one says), pool (connections to workers),
+// roster (discovery), peers (datagrams among schedulers), ops and metrics (the second address), fleet (owners' calls there),
+// handover, pass and records (two processes of one scheduler), clock, and drive, which pulls the module's decisions.
 package scheduler
 
 import (
