--- a/cmd/shalebeam/soak_test.go
+++ b/cmd/shalebeam/soak_test.go
@@ -337,7 +337,7 @@
 	n.d.t.Cleanup(func() { p.cmd.Process.Kill() })
 	go func() {
 		err := p.cmd.Wait()
-		n.d.tell("n%d ended: %v", n.no, err)
+		n.d.tell("n%d ended: %v, decisions not taken: %v", n.no, err, p.faulty.Untaken())
 		if !p.stopping.Load() {
 			n.d.mu.Lock()
 			n.d.broke("crash", "n%d ended: %v", n.no, err)
--- a/lab/sysfault/sysfault.go
+++ b/lab/sysfault/sysfault.go
@@ -151,6 +151,8 @@
 	seen   []int // calls that each rule matched
 	failed []int // of these, those that it was applied to
 	events []Event
+
+	untaken []error
 }
 
 // Start starts cmd, whose path is the program under test, with these calls under control and these rules in force. launcher is a
@@ -268,10 +270,24 @@
 
 // answer sends a decision. An interrupted call is made again: the process waits for it.
 func (t *Tracer) answer(out *response) {
-	for t.ioctl(ioctlSend, unsafe.Pointer(out)) == unix.EINTR {
+	err := t.ioctl(ioctlSend, unsafe.Pointer(out))
+	for err == unix.EINTR {
+		err = t.ioctl(ioctlSend, unsafe.Pointer(out))
+	}
+	if err != nil {
+		t.mu.Lock()
+		t.untaken = append(t.untaken, err)
+		t.mu.Unlock()
 	}
 }
 
+// Untaken are the errors of decisions that the process did not take: it was killed meanwhile, or the fault is this package's.
+func (t *Tracer) Untaken() []error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]error(nil), t.untaken...)
+}
+
 // serve answers notifications until the process has ended.
 func (t *Tracer) serve() {
 	defer close(t.done)
--- a/scheduler/eventloop/conn.go
+++ b/scheduler/eventloop/conn.go
@@ -19,6 +19,8 @@
 	Write(b []byte) error
 	// Since is the earliest time at which the bytes that were read last may have come.
 	Since() time.Time
+	// SetWriteDeadline ends the connection with os.ErrDeadlineExceeded instead of sending, after that time, what was kept.
+	SetWriteDeadline(t time.Time)
 	// InboundBuffered is how many bytes wait to be used.
 	InboundBuffered() int
 	// OutboundBuffered is how many bytes the system has not taken yet.
@@ -42,6 +44,7 @@
 	fresh    []byte // in the loop's buffer, for as long as the handler looks at it
 	in       []byte // left from earlier
 	out      []byte // not taken by the system yet
+	sendBy   time.Time
 	paused   *Timer // nothing is read or written until then
 }
 
@@ -71,6 +74,8 @@
 func (c *conn) OutboundBuffered() int  { return len(c.out) }
 func (c *conn) Since() time.Time       { return c.interest.since }
 
+func (c *conn) SetWriteDeadline(t time.Time) { c.sendBy = t }
+
 func (c *conn) Peek() []byte {
 	if len(c.in) == 0 {
 		return c.fresh
@@ -187,6 +192,10 @@
 		c.arm()
 		return
 	}
+	if !c.sendBy.IsZero() && time.Now().After(c.sendBy) {
+		c.end(os.ErrDeadlineExceeded)
+		return
+	}
 	n, err := unix.Write(c.fd, c.out)
 	if err != nil {
 		c.failed("write", err)
--- a/scheduler/eventloop/loop_test.go
+++ b/scheduler/eventloop/loop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -135,6 +136,29 @@
 	}
 }
 
+// What is kept beyond its time is not sent, and the connection ends with it.
+func TestWhatIsKeptTooLongIsNotSent(t *testing.T) {
+	why := make(chan error, 1)
+	sent := make(chan bool)
+	_, addr := run(t, &recorder{
+		accepted: func(c Conn) {
+			c.SetWriteDeadline(time.Now().Add(30 * time.Millisecond))
+			if err := c.Write(make([]byte, 16<<20)); err != nil || c.OutboundBuffered() == 0 {
+				t.Errorf("%v, %d kept", err, c.OutboundBuffered())
+			}
+			close(sent)
+		},
+		closed: func(_ Conn, err error) { why <- err },
+	})
+	c := connect(t, addr)
+	<-sent
+	time.Sleep(60 * time.Millisecond)
+	go io.Copy(io.Discard, c) // from now on the system would take more
+	if err := get(t, why); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error(err)
+	}
+}
+
 // A connection is told to have ended once, by whichever side, and why.
 func TestEndsAreToldOnce(t *testing.T) {
 	why := make(chan error, 10)
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -58,6 +58,7 @@
 	passed float64           // when that was last told
 	from   *net.UnixListener // where another one passes on what it has open; nil: none can
 	to     int               // where this one does; 0: nowhere
+	giving bool              // give is at work
 	gave   int               // connections of clients passed on, and txns taken
 	got    int
 }
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -57,9 +57,11 @@
 // give passes on what can be now. What can't, as a message is half read or written or a connection is being
 // made, is tried again.
 func (h *handover) give() {
-	if h.to == 0 {
+	if h.to == 0 || h.giving {
 		return
 	}
+	h.giving = true
+	defer func() { h.giving = false }()
 	cs := &h.s.clients
 	for i := len(cs.all) - 1; i >= 0; i-- {
 		if i >= len(cs.all) {
--- a/scheduler/phases.go
+++ b/scheduler/phases.go
@@ -332,9 +332,9 @@
 	s.pull()
 }
 
-// Closed takes the end of a connection, by either side.
+// Closed takes the end of a connection, by either side. That comes first: nothing may be done with it any more, as looking for
+// what can be passed on might.
 func (s *Scheduler) Closed(c eventloop.Conn, err error) {
-	s.handover.look()
 	if x, ok := c.Context().(connection); ok {
 		x.closed(c, err)
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -342,6 +343,7 @@
 		b = strconv.AppendInt(b, int64(len(a.body)), 10)
 		b = append(append(b, "\r\n\r\n"...), a.body...)
 	}
+	l.conn.SetWriteDeadline(time.Now().Add(sendFor))
 	l.writing = true
 	_ = l.conn.Write(b) // where it fails the connection is closed, and closed has told
 	l.writing = false
@@ -390,7 +392,7 @@
 	}
 }
 
-func (l *workerConn) closed(c eventloop.Conn, _ error) {
+func (l *workerConn) closed(c eventloop.Conn, err error) {
 	short := l.writing || c.OutboundBuffered() > 0
 	if short {
 		// What is left is tried once more after this call, and a posting that never went out whole must not be made
@@ -406,6 +408,8 @@
 		l.s.pool.distrust(now, l.rested)
 	}
 	switch {
+	case short && errors.Is(err, os.ErrDeadlineExceeded):
+		l.end(balance.NeverSent) // this machine could not write it, which says nothing of the worker
 	case short:
 		l.end(balance.NoConnect)
 	case l.resp.End() && l.resp.Status != 0:
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -33,7 +33,10 @@
 func (c *fakeConn) OutboundBuffered() int { return c.unsent }
 func (c *fakeConn) Peek() []byte          { return c.in }
 func (c *fakeConn) Since() time.Time      { return time.Now() }
-func (c *fakeConn) Discard(n int)         { c.in = c.in[n:] }
+
+func (c *fakeConn) SetWriteDeadline(time.Time) {}
+
+func (c *fakeConn) Discard(n int) { c.in = c.in[n:] }
 func (c *fakeConn) Fd() int {
 	if c.sock == 0 {
 		return -1
