--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 lint:
 	test -z "$$(gofmt -l .)"
 	go vet ./...
+	go tool -modfile=tools/go.mod staticcheck ./...
 
 # CONFIG names the file that tells the scheduler of its machine, else BALANCER_CONFIG does; README.md has its form.
 run: build
--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -11,7 +11,6 @@
 	now  float64
 	n    int
 	runs []Post
-	refs []int
 	gap  float64
 }
 
--- a/benchwire/benchwire.go
+++ b/benchwire/benchwire.go
@@ -76,11 +76,10 @@
 
 // Link hosts the instances, which share nothing.
 type Link struct {
-	insts  map[int]*instance
-	stray  map[int]bool
-	errs   io.Writer
-	out    bytes.Buffer
-	failed bool
+	insts map[int]*instance
+	stray map[int]bool
+	errs  io.Writer
+	out   bytes.Buffer
 }
 
 // New returns a link that says on errs what it passes over.
--- a/cmd/shalebeam/soak_test.go
+++ b/cmd/shalebeam/soak_test.go
@@ -711,9 +711,8 @@
 	id    string
 	addrs []string // one for each scheduler, by which it knows who sends
 
-	mu    sync.Mutex
-	rand  *rand.Rand
-	hangs bool
+	mu   sync.Mutex
+	rand *rand.Rand
 }
 
 func (d *day) worker(id string) *soakWorker {
--- a/lab/cluster/day.go
+++ b/lab/cluster/day.go
@@ -77,7 +77,6 @@
 	mu     sync.Mutex
 	rep    Report
 	hist   history
-	quiet  bool // faults are over
 	nextID uint64
 	behind map[int]bool
 	locks  map[string]*sync.Mutex // by worker
--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -262,9 +262,8 @@
 	}
 	all := map[string][]act{}
 	type hold struct {
-		until  time.Time
-		who    string
-		passed bool
+		until time.Time
+		who   string
 	}
 	holds, began := map[string]map[uint64]*hold{}, map[string]map[uint64]time.Time{}
 	of := func(matter string, n uint64) *hold {
--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -112,12 +112,6 @@
 	}
 }
 
-func (p *proc) running() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cmd != nil
-}
-
 func (p *proc) still(f time.Duration) {
 	if !p.signal(syscall.SIGSTOP) {
 		return
--- a/lab/council/ops.go
+++ b/lab/council/ops.go
@@ -550,7 +550,7 @@
 	}
 	op := rec.Ops[do.Op]
 	s := op.Steps[do.Member]
-	if o.lifted == false && o.halted > 0 && w.now > o.halted && fleet.Takes(s) && d.Halts["all"].Of != "" {
+	if !o.lifted && o.halted > 0 && w.now > o.halted && fleet.Takes(s) && d.Halts["all"].Of != "" {
 		w.broke("%s began to take %s out after its yes to a halt", b.id, do.Member)
 	}
 	if m := o.by[do.Member]; m != nil && fleet.Takes(s) {
@@ -747,10 +747,7 @@
 		})
 	case op.Done && op.Kind != "drain" && o.ended == 0:
 		// What ended without some of its members, a person brings back.
-		var out []string
-		for _, id := range slices.Sorted(maps.Keys(r.Permits)) {
-			out = append(out, id)
-		}
+		out := slices.Sorted(maps.Keys(r.Permits))
 		if len(out) == 0 {
 			o.ended = w.now
 			return
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -38,7 +38,6 @@
 	Tries  int
 	Over   bool
 	Got    string // how it ended
-	backs  float64
 }
 
 // Ref is the reference of its present try.
--- a/lab/machine/machine.go
+++ b/lab/machine/machine.go
@@ -37,7 +37,6 @@
 	Warned     bool    // its sender knew of the worker's last start
 	done       float64
 	began      bool
-	off        bool
 	came       float64
 }
 
@@ -95,7 +94,6 @@
 	running  []*Job
 	queue    []*Job
 	sent     []push
-	sum      float64
 	at       float64
 	notes    []Note
 	busy     float64 // core time spent, milliseconds
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -74,7 +74,6 @@
 	list  []*box
 	txns  map[string]*owed
 	wait  []*owed
-	known bool
 	calls bool
 	askAt float64
 	till  float64
