--- a/scheduler/live_test.go
+++ b/scheduler/live_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -33,6 +34,7 @@
 type workerCall struct {
 	conn net.Conn
 	ref  string
+	told string // its Request-Timeout
 }
 
 const livePatience = 20 * time.Second
@@ -119,7 +121,7 @@
 					return
 				}
 				io.Copy(io.Discard, r.Body)
-				v.calls <- &workerCall{conn, r.Header.Get("Request-Id")}
+				v.calls <- &workerCall{conn, r.Header.Get("Request-Id"), r.Header.Get("Request-Timeout")}
 			}
 		}()
 	}
@@ -293,6 +295,37 @@
 	}
 }
 
+// What a request has waited before it was read is gone from its time: on a connection that is there, and on one that could not
+// be accepted sooner. (It got all of its time from the moment at which it was read.)
+func TestARequestThatWaitedHasLessTime(t *testing.T) {
+	t.Parallel()
+	const waits = 300 * time.Millisecond
+	v := newLive(t)
+	warm := v.client(request("warm"))
+	v.call().settle()
+	v.answers(warm, 200, "ok warm")
+	timed := func(ref string) string {
+		return strings.Replace(request(ref), "Host: h\r\n", "Host: h\r\nRequest-Timeout: 1500m\r\n", 1)
+	}
+	release := v.hold()
+	fresh := v.client(timed("fresh"))
+	io.WriteString(warm, timed("kept"))
+	acked(t, warm, false)
+	acked(t, fresh, false)
+	time.Sleep(waits)
+	release()
+	for range 2 {
+		c := v.call()
+		ms, err := strconv.Atoi(strings.TrimSuffix(c.told, "m"))
+		if told, most := time.Duration(ms)*time.Millisecond, 1500*time.Millisecond-waits; err != nil || told > most {
+			t.Errorf("%s: its worker is told %s, and it has %v", c.ref, c.told, most)
+		}
+		c.settle()
+	}
+	v.answers(warm, 200, "ok kept")
+	v.answers(fresh, 200, "ok fresh")
+}
+
 // drains has a scheduler told to stop, and its loop held at a moment at which nothing more is left to do, so that the stop
 // ends as soon as the loop goes on, unless something came meanwhile.
 func (v *live) drains() (release func()) {
