--- a/cmd/shalebeam/faults_test.go
+++ b/cmd/shalebeam/faults_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -311,6 +312,52 @@
 	}
 }
 
+// Connections pass to a process that may not have another descriptor just then: they wait for it. (They were gone.)
+func TestConnectionsPassWhileDescriptorsAreShort(t *testing.T) {
+	t.Parallel()
+	h := newHouse(t)
+	old := h.start()
+	h.load(12)
+	long := h.once("long", 1500)
+	fresh := h.start()
+	var before unix.Rlimit
+	if err := unix.Prlimit(fresh.cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
+		t.Fatal(err)
+	}
+	// One is for the way from the old process, a few are for connections.
+	low := unix.Rlimit{Cur: fresh.limitFor(4), Max: before.Max}
+	if err := unix.Prlimit(fresh.cmd.Process.Pid, unix.RLIMIT_NOFILE, &low, nil); err != nil {
+		t.Fatal(err)
+	}
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(300 * time.Millisecond)
+	if err := unix.Prlimit(fresh.cmd.Process.Pid, unix.RLIMIT_NOFILE, &before, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := within(t, long, "the answer of a long request"); err != nil {
+		t.Error(err)
+	}
+	if err := within(t, old.exit, "the old process's end"); err != nil {
+		t.Error(err)
+	}
+	close(h.done)
+	h.busy.Wait()
+	if h.answered.Load() < 50 || h.lost.Load()+h.refused.Load() > 0 {
+		t.Errorf("answered %d, lost %d, refused, reset or unread %d: %v", h.answered.Load(), h.lost.Load(), h.refused.Load(),
+			h.last.Load())
+	}
+}
+
+// limitFor is the limit on descriptors that leaves the process so many more.
+func (p *process) limitFor(more int) (limit uint64) {
+	for ; more >= 0; limit++ {
+		if _, err := os.Lstat(fmt.Sprintf("/proc/%d/fd/%d", p.cmd.Process.Pid, limit)); err != nil {
+			more--
+		}
+	}
+	return limit - 1
+}
+
 // logs waits until the processes' log has a text so many times.
 func (h *house) logs(text string, n int) {
 	h.t.Helper()
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -22,6 +23,8 @@
 const (
 	passMost = 200 << 10 // a message; what is larger stays
 	passFds  = 16
+	// A message that can't be taken for the moment is looked at again after this.
+	passAgain = time.Millisecond
 	// Of a process that does not tell its clock: were the wall clock set between their starts, times are moved by that.
 	clockOff = 1000.0
 )
@@ -214,39 +217,86 @@
 // take1 takes what one process passes on, until that ends.
 func (h *handover) take1(from *net.UnixConn) {
 	defer from.Close()
-	raw, oob := make([]byte, passMost), make([]byte, unix.CmsgSpace(4*passFds))
 	for {
-		n, m, flags, _, err := from.ReadMsgUnix(raw, oob)
-		if transient.Error(err) {
-			time.Sleep(time.Millisecond) // what was passed on still waits there
-			continue
-		}
-		if err != nil || n == 0 {
+		raw, fds, err := receive(from)
+		if err != nil || len(raw) == 0 && len(fds) == 0 {
 			return
 		}
-		var fds []int
-		if all, err := unix.ParseSocketControlMessage(oob[:m]); err == nil {
-			for i := range all {
-				more, _ := unix.ParseUnixRights(&all[i])
-				fds = append(fds, more...)
-			}
-		}
-		err = nil
-		if flags&(unix.MSG_TRUNC|unix.MSG_CTRUNC) != 0 {
+		if len(raw) > passMost {
 			err = fmt.Errorf("a message of over %d bytes", passMost)
-		}
-		if err == nil {
-			err = h.takeOne(raw[:n], fds)
+		} else {
+			err = h.takeOne(raw, fds)
 		}
 		if err != nil {
 			h.s.log.Printf("msg=malformed from=process err=%q", err)
-			for _, fd := range fds {
-				_ = unix.Close(fd)
-			}
+			closeAll(fds)
 		}
 	}
 }
 
+// receive takes one message and its descriptors. It looks at it first, which has copies of the descriptors made: where this
+// process may not have so many just now, the message still waits, and is looked at again. Only then it is taken out.
+func receive(from *net.UnixConn) (raw []byte, fds []int, err error) {
+	conn, err := from.SyscallConn()
+	if err != nil {
+		return nil, nil, err
+	}
+	buffer, oob := make([]byte, passMost+1), make([]byte, unix.CmsgSpace(4*passFds))
+	for {
+		n, m, flags, err := recvmsg(conn, buffer, oob, unix.MSG_PEEK|unix.MSG_CMSG_CLOEXEC)
+		if err != nil {
+			return nil, nil, err
+		}
+		raw, fds = buffer[:n], rights(oob[:m])
+		if flags&unix.MSG_CTRUNC == 0 {
+			break
+		}
+		closeAll(fds)
+		time.Sleep(passAgain)
+	}
+	if _, _, _, err := recvmsg(conn, make([]byte, 1), nil, 0); err != nil {
+		closeAll(fds)
+		return nil, nil, err
+	}
+	return raw, fds, nil
+}
+
+// recvmsg waits for a message, also while that fails for the moment.
+func recvmsg(conn syscall.RawConn, raw, oob []byte, flags int) (n, m, got int, err error) {
+	for {
+		failed := conn.Read(func(fd uintptr) bool {
+			n, m, got, _, err = unix.Recvmsg(int(fd), raw, oob, flags|unix.MSG_DONTWAIT)
+			return err != unix.EAGAIN
+		})
+		if failed != nil {
+			return 0, 0, 0, failed
+		}
+		if !transient.Error(err) {
+			return n, m, got, err
+		}
+		time.Sleep(passAgain)
+	}
+}
+
+// rights are the descriptors of a message.
+func rights(oob []byte) (fds []int) {
+	all, err := unix.ParseSocketControlMessage(oob)
+	if err != nil {
+		return nil
+	}
+	for i := range all {
+		more, _ := unix.ParseUnixRights(&all[i]) // of another kind there are none
+		fds = append(fds, more...)
+	}
+	return fds
+}
+
+func closeAll(fds []int) {
+	for _, fd := range fds {
+		_ = unix.Close(fd)
+	}
+}
+
 // takeOne makes of a message what it was in the other process. Where it fails the descriptors are still the caller's.
 func (h *handover) takeOne(raw []byte, fds []int) error {
 	var m passed
@@ -268,9 +318,7 @@
 	c := &client{s: s, used: m.Used, passed: true, reads: m.Txn != nil}
 	if err := s.loop.Adopt(fds[0], c); err != nil {
 		s.log.Printf("msg=malformed from=process err=%q", err)
-		for _, fd := range fds {
-			_ = unix.Close(fd)
-		}
+		closeAll(fds)
 		return
 	}
 	if m.Txn == nil {
