--- a/cmd/shalebeam/soak_test.go
+++ b/cmd/shalebeam/soak_test.go
@@ -47,7 +47,8 @@
 	drainGrace   = 350 * time.Millisecond // for a send that crosses the news, with a process that is held up
 	tellSlowest  = 6 * time.Second        // by then a change counts as told
 	frontSees    = 400 * time.Millisecond // how long new connections come after SIGTERM
-	killAfter    = 700 * time.Millisecond // beyond the longest deadline
+	stopMost     = 3 * time.Second        // a stop may take the longest deadline, and no more than this
+	killAfter    = 700 * time.Millisecond // beyond that
 	// A scheduler may be held up for 0.15 s in all between its clock and its write.
 	heldFor   = 60 * time.Millisecond // in a write
 	standsFor = 80 * time.Millisecond // by a signal
@@ -127,7 +128,9 @@
 func newDay(t *testing.T, seed uint64) *day {
 	r := rand.New(rand.NewPCG(seed, 48))
 	d := &day{t: t, rand: r, over: make(chan struct{}), requests: map[string]*soakRequest{}, crowded: seed%4 == 0}
-	d.longest = time.Duration(1000+r.IntN(1500)) * time.Millisecond
+	if d.longest = time.Duration(1000+r.IntN(1500)) * time.Millisecond; seed%5 == 0 {
+		d.longest = 6 * time.Second // more than a stop may take
+	}
 	d.classes = []soakClass{{"look", "retryable", d.longest}, {"buy", "fragile", d.longest * 3 / 4},
 		{"note", "dedup", d.longest / 2}}
 	for i := range 5 {
@@ -381,7 +384,7 @@
 // stop ends the process in order, with more signals that come meanwhile, and kills it as early as may be.
 func (p *soakProcess) stop(r *rand.Rand) {
 	p.signal(syscall.SIGTERM)
-	latest := time.After(p.n.d.longest + killAfter)
+	latest := time.After(min(p.n.d.longest, stopMost) + killAfter)
 	for range r.IntN(3) {
 		time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
 		p.signal([]os.Signal{syscall.SIGTERM, syscall.SIGHUP}[r.IntN(2)])
