--- a/scheduler/eventloop/loop.go
+++ b/scheduler/eventloop/loop.go
@@ -98,7 +98,8 @@
 	l.returned = time.Now()
 	for !l.stopping {
 		n, err := l.wait(events)
-		if err != nil && l.failed("epoll_wait", err) == fatal {
+		// Any signal ends the wait with EINTR, which is no failure.
+		if err != nil && err != unix.EINTR && l.failed("epoll_wait", err) == fatal {
 			return fmt.Errorf("epoll_wait: %w", err)
 		}
 		for i := 0; i < n && !l.stopping; i++ {
