--- a/scheduler/eventloop/dial.go
+++ b/scheduler/eventloop/dial.go
@@ -12,6 +12,7 @@
 const (
 	localFor       = 250 * time.Millisecond // for so long a call that fails here is made again before the dial fails
 	connectRepeats = 10                     // of a connect that is interrupted, in one turn
+	sendBuffer     = 128 << 10              // bytes that the system takes at once: a whole request, however far its worker
 )
 
 // ErrLocal marks an error of this machine: nothing was learned of the other side.
@@ -49,7 +50,9 @@
 		return
 	}
 	d.fd, d.interest = fd, interest{l: d.l, fd: fd, since: time.Now()}
-	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it all works, with some delay
+	// Without these all works: with some delay, and with large requests kept here until the far side acknowledges.
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
 	switch err := d.connect(); err {
 	case nil, unix.EINPROGRESS:
 		d.l.watched[fd] = d
--- a/scheduler/eventloop/loop_test.go
+++ b/scheduler/eventloop/loop_test.go
@@ -277,7 +277,13 @@
 	nobody := unheard.Addr().String()
 	unheard.Close()
 	ends := make(chan any, 10)
-	l, _ := run(t, &recorder{opened: func(c Conn) { ends <- c.Context() }})
+	l, _ := run(t, &recorder{opened: func(c Conn) {
+		// The system doubles what it is told, and holds a whole request whatever the way to the other side is like.
+		if size, err := unix.GetsockoptInt(c.Fd(), unix.SOL_SOCKET, unix.SO_SNDBUF); err != nil || size != 2*sendBuffer {
+			t.Errorf("the system takes %d bytes, %v", size, err)
+		}
+		ends <- c.Context()
+	}})
 	for _, c := range []struct {
 		to   string
 		want any
