--- a/agent/act_test.go
+++ b/agent/act_test.go
@@ -74,3 +74,17 @@
 		t.Error("not answered when it was over")
 	}
 }
+
+// A scheduler that this agent's file names for the first time is not said to run here before the record gives the name to
+// this agent: another agent may run it. (It was said so until the record could be read, seconds after an election.)
+func TestANewNameDoesNotRunBeforeItIsOnRecord(t *testing.T) {
+	a := &Agent{file: &File{Name: "a1", Scheduler: []Local{{ID: "s0"}}}}
+	state := &ran{Run: true, New: true}
+	a.runs = &runs{a: a, all: map[string]*runner{"s0": {}}, kept: kept{fleet.NewDoer("x"), map[string]*ran{"s0": state}}}
+	for _, given := range []bool{false, true} {
+		state.New = !given
+		if all, _ := a.runs.list(); len(all) != 1 || all[0].Run != given {
+			t.Errorf("given to this agent: %v; said: %+v", given, all)
+		}
+	}
+}
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -40,7 +40,7 @@
 	ID      string   `json:"id"`
 	State   string   `json:"state"` // done (as wanted), going, failed
 	Why     string   `json:"why,omitempty"`
-	Run     bool     `json:"run"` // whether it is meant to run
+	Run     bool     `json:"run"` // whether it is meant to run; a new name is not before the record gives it to this agent
 	Step    uint64   `json:"step"`
 	Pids    []int    `json:"pids,omitempty"`
 	Addr    string   `json:"addr"`
@@ -432,7 +432,7 @@
 			continue
 		}
 		k := r.kept.Runs[l.ID]
-		s := Running{ID: l.ID, Run: k.Run, Step: k.Gen, Addr: x.at(), Program: k.Pairs[k.Gen].Program, Config: k.Pairs[k.Gen].Config}
+		s := Running{ID: l.ID, Run: k.Run && !k.New, Step: k.Gen, Addr: x.at(), Program: k.Pairs[k.Gen].Program, Config: k.Pairs[k.Gen].Config}
 		s.State, s.Why = x.minder.State()
 		for _, p := range x.procs {
 			if p != nil {
