--- a/lab/live/world.go
+++ b/lab/live/world.go
@@ -381,8 +381,9 @@
 	}
 	w.audit = audit.New(terms)
 	marks, saves := map[string]*machine.Shelf{}, map[int]*machine.Shelf{}
+	meanWork := p.MeanWork()
 	for i, b := range p.Boxes() {
-		x := &box{w: w, no: i, Box: b, m: machine.New(p.Spec(b.Group)), up: p.Workers[b.Group].Joins == 0,
+		x := &box{w: w, no: i, Box: b, m: machine.New(p.Spec(b.Group, meanWork)), up: p.Workers[b.Group].Joins == 0,
 			rand: load.Rand(w.seed, "worker"+b.Name), visits: map[*machine.Job]*visit{}, conns: map[*conn]bool{},
 			marks: map[balance.Group]*machine.Shelf{}}
 		x.m.Change(w.wall(), func() {})
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -158,8 +158,9 @@
 func (w *world) build() {
 	p := w.p
 	marks, saves := map[string]*machine.Shelf{}, map[int]*machine.Shelf{}
+	meanWork := p.MeanWork()
 	for i, b := range p.Boxes() {
-		x := &box{w: w, no: i, Box: b, m: machine.New(p.Spec(b.Group)), up: p.Workers[b.Group].Joins == 0,
+		x := &box{w: w, no: i, Box: b, m: machine.New(p.Spec(b.Group, meanWork)), up: p.Workers[b.Group].Joins == 0,
 			rand: load.Rand(w.seed, "worker"+b.Name)}
 		if saves[b.Cell] == nil {
 			saves[b.Cell] = machine.NewShelf()
