--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,7 +10,7 @@
 //  1. Room: a ranked worker believed full passes the txn to the next rank; with no room anywhere it is held.
 //  2. Homes: a txn that needs a key is banded among the few workers that keep it.
 //  3. Suspicion: a worker that fails or falls silent stands aside until a cheap trial brings it back.
-//  4. Fresh workers: schedulers take turns by own number, each within its part of the cold budget.
+//  4. Fresh workers: each scheduler keeps to its quota of what they are allowed, see package slowstart.
 //  5. Further postings: what never ran goes again, what may have run or waits unbegun as its scheme allows.
 //  6. Overload: told by the oldest wait; then what may gain goes first, the late is declined or called off.
 
@@ -21,6 +21,8 @@
 	"math"
 	"slices"
 	"sort"
+
+	"shalebeam/balance/slowstart"
 )
 
 const (
@@ -40,9 +42,10 @@
 	watchGap      = 100.0  // between the first calls of two schedulers that start together
 	watchAnswer   = 2000.0 // a list service turns away what has waited longer for its answer
 	manyPeers     = 5      // each then sees a fifth of the work at the most, about a job a worker
-	wideMost      = 8.0    // see wide: with more of them the sums of what they send vary too much
-	coldPart      = 0.5    // of the cold budget, among few: hints are rough, a txn may cost many times its own
 	warmEarly     = 2.0    // among many: a worker is taken to be warm so many times sooner than at the latest
+	unhintedPart  = 0.1    // fewer txns with a hint than this part, and hints are taken to be none
+	unhintedFrom  = 10.0   // so many txns show whether hints come
+	workUnknown   = 100.0  // taken for a request's work before anything is known of it
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
 	newsPart      = 16     // of what it keeps away: most failures are chance, and most txns settle elsewhere
@@ -52,75 +55,78 @@
 
 // Scheduler holds all that one scheduler knows.
 type Scheduler struct {
-	terms       *Terms // as last told; a txn keeps those it came under
-	seeded      uint32 // the seed's part of each draw
-	draws       uint32
-	born        float64   // when the first list came
-	stopAt      float64   // when this scheduler ends
-	coldAt      float64   // before this it sends nothing to cold workers
-	yields      bool      // another process of this scheduler decides for it
-	ledAt       float64   // when it did last
-	took        []float64 // when txns came, and postings beyond their first went out, in the budget's window
-	further     []float64
-	txns        map[string]*txn
-	held        queue      // open txns that want a posting: none is out, or the one that is out is in doubt
-	due         [2]alarms  // when those are given up, without and with overload
-	oldest      alarms     // those with nothing out, by when they came
-	excess      []*txn     // with more postings out than needed: answered, or one has begun
-	waits       []*posting // those out that have not begun, in the order in which they were made
-	oldestOut   alarms     // their txns, by when they came
-	byID        map[string]*worker
-	staffed     map[string]*staffed  // workers that staff took out, now or before
-	list        []*worker            // those the list names, in its order
-	ranks       []*ranking           // of all workers, then one for each set of them that a scheme is bound to
-	touched     []*worker            // whose load may have changed since the last ranking
-	young       []*worker            // those that may be cold, in the list's order
-	sick        []*worker            // those that failed lately
-	fulls       []sighting           // when workers showed themselves full, in order
-	below       [numBins + 1]float64 // work in the histogram below each bin, at the last ranking
-	costs       []uint8
-	costAt      int
-	bins        [numBins]int
-	keys        []uint32 // of the last keyed txns
-	asked       map[uint32]int
-	since       int // completions since the last ranking
-	rankAt      float64
-	sizes       map[int]float64 // the most weight seen, by kind, where weights are lowered by load
-	stale       bool            // the list changed since the last ranking
-	settled     []sending       // the last txns settled
-	heaviest    float64         // the most work of them
-	runs        samples         // running times
-	left        *worker         // where an own job last ended
-	leftAt      float64
-	turns       []*worker // cold ones at which it is this scheduler's turn
-	live        int       // workers that the list shows as running
-	running     int       // the same at the last ranking
-	carried     map[size]float64
-	none        map[*ranking]float64 // the least cost that no worker takes at this decision
-	salt        uint32               // the first draw of the last ranking
-	near, far   float64              // the way to workers of the own zone and of others
-	delays      samples              // times from posting to start
-	tightest    float64              // SLA time of any scheme
-	richest     float64              // the most gain that a txn of any scheme has
-	longest     []float64
-	tenants     []tenant
-	pulls       int    // postings asked for so far
-	news        []news // still to be told among many
-	toldTo      uint16 // see outs
-	moves, told int    // postings made or ended so far, and when peers were last told
-	toldAt      float64
-	heardAt     map[int]float64 // when each peer last told
-	listTill    float64         // see Relies
-	watching    bool
-	watchAt     float64
-	watchBad    int
+	terms        *Terms // as last told; a txn keeps those it came under
+	seeded       uint32 // the seed's part of each draw
+	draws        uint32
+	born         float64   // when the first list came
+	stopAt       float64   // when this scheduler ends
+	coldAt       float64   // before this it sends nothing to cold workers
+	yields       bool      // another process of this scheduler decides for it
+	ledAt        float64   // when it did last
+	took         []float64 // when txns came, and postings beyond their first went out, in the budget's window
+	further      []float64
+	txns         map[string]*txn
+	held         queue      // open txns that want a posting: none is out, or the one that is out is in doubt
+	due          [2]alarms  // when those are given up, without and with overload
+	oldest       alarms     // those with nothing out, by when they came
+	excess       []*txn     // with more postings out than needed: answered, or one has begun
+	waits        []*posting // those out that have not begun, in the order in which they were made
+	oldestOut    alarms     // their txns, by when they came
+	byID         map[string]*worker
+	staffed      map[string]*staffed  // workers that staff took out, now or before
+	list         []*worker            // those the list names, in its order
+	ranks        []*ranking           // of all workers, then one for each set of them that a scheme is bound to
+	touched      []*worker            // whose load may have changed since the last ranking
+	young        []*worker            // those that may be cold, in the list's order
+	sick         []*worker            // those that failed lately
+	fulls        []sighting           // when workers showed themselves full, in order
+	below        [numBins + 1]float64 // work in the histogram below each bin, at the last ranking
+	costs        []uint8
+	costAt       int
+	bins         [numBins]int
+	allCosts     float64  // the sum of those kept
+	came, hinted float64  // txns so far, and those of them with a hint
+	keys         []uint32 // of the last keyed txns
+	asked        map[uint32]int
+	since        int // completions since the last ranking
+	rankAt       float64
+	sizes        map[int]float64 // the most weight seen, by kind, where weights are lowered by load
+	stale        bool            // the list changed since the last ranking
+	settled      []sending       // the last txns settled
+	heaviest     float64         // the most work of them
+	runs         samples         // running times
+	left         *worker         // where an own job last ended
+	leftAt       float64
+	starting     []*worker // cold ones at which this scheduler has a quota
+	live         int       // workers that the list shows as running
+	carried      map[size]float64
+	capacity     slowstart.Capacity
+	warmOf       map[int]int          // warm workers by kind, at the last ranking
+	none         map[*ranking]float64 // the least cost that no worker takes at this decision
+	salt         uint32               // the first draw of the last ranking
+	near, far    float64              // the way to workers of the own zone and of others
+	delays       samples              // times from posting to start
+	tightest     float64              // SLA time of any scheme
+	richest      float64              // the most gain that a txn of any scheme has
+	longest      []float64
+	tenants      []tenant
+	pulls        int    // postings asked for so far
+	news         []news // still to be told among many
+	toldTo       uint16 // see outs
+	moves, told  int    // postings made or ended so far, and when peers were last told
+	toldAt       float64
+	heardAt      map[int]float64 // when each peer last told
+	listTill     float64         // see Relies
+	watching     bool
+	watchAt      float64
+	watchBad     int
 }
 
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{txns: map[string]*txn{}, byID: map[string]*worker{},
 		born: -1, ledAt: math.Inf(-1), stopAt: math.Inf(1), listTill: math.Inf(1),
-		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{},
+		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{}, warmOf: map[int]int{},
 		none: map[*ranking]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
 	}
 	s.seeded = ^crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, terms.Seed))
@@ -189,7 +195,8 @@
 // Arrived takes a new txn, which is now owed one final answer.
 func (s *Scheduler) Arrived(now float64, x Txn) {
 	t := &txn{Txn: x, terms: s.terms, came: now, until: now + x.Left, hash: crc32.ChecksumIEEE([]byte(x.Key))}
-	if x.Hint > 0 {
+	if s.came++; x.Hint > 0 {
+		s.hinted++
 		t.cost = x.Hint * max(x.Slots, 1)
 		s.keepCost(t.cost)
 	} else {
@@ -289,6 +296,7 @@
 		if s.settled = append(s.settled, sending{now, work}); len(s.settled) > settledKept {
 			s.settled = s.settled[1:]
 		}
+		s.capacity.Settled(now, w.Kind, !s.cold(now, w), work)
 		s.heaviest = slices.MaxFunc(s.settled, func(a, b sending) int { return cmp.Compare(a.work, b.work) }).work
 		w.fails, w.aside, w.bad, w.heardAt = 0, 0, 0, now
 		if v, was := w.ill[t.row().Name]; was {
@@ -304,6 +312,7 @@
 				w.pace.add(t.run() / max(now-p.start, 1))
 			}
 			w.bears.add(float64(w.known()+1) * t.run() / max(now-p.start, 1))
+			w.runs.add(float64(len(w.own)-w.unbegun+1) * t.run() / max(now-p.start, 1))
 			w.limit = limit(w.bears.at(0.5, 0))
 		}
 		for _, q := range t.posts {
@@ -437,22 +446,20 @@
 // rerank takes the workers touched since the last ranking to where they now belong.
 func (s *Scheduler) rerank(now float64) {
 	s.forget(now)
-	s.turns, s.running = s.turns[:0], s.live
+	s.starting = s.starting[:0]
 	s.salt, s.draws = s.draws, s.draws+uint32(len(s.list))
 	s.young = slices.DeleteFunc(s.young, func(w *worker) bool {
-		// A cold worker is ready only in this scheduler's turn.
+		// A cold worker is ready only where this scheduler has a quota.
 		cold := s.cold(now, w) && w.here
-		if w.mine = false; cold && w.State == Running && s.terms.Peers > 1 {
-			if _, w.mine = s.turn(now, w); w.mine {
-				s.turns = append(s.turns, w)
-			}
+		if w.mine = cold && w.State == Running && s.quota(now, w).Any(); w.mine {
+			s.starting = append(s.starting, w)
 		}
 		s.touch(w)
 		return !cold
 	})
 	for _, w := range s.touched {
 		w.touched = false
-		ready := w.here && w.State == Running && (w.mine || s.terms.Peers <= 1 || !s.cold(now, w))
+		ready := w.here && w.State == Running && (w.mine || !s.cold(now, w))
 		load := s.load(w)
 		if w.placed && ready && load == w.rankLoad && w.rankZone == w.Zone && w.rankKind == w.Kind {
 			continue
@@ -475,9 +482,25 @@
 	}
 	s.cut()
 	clear(s.carried)
+	s.countWarm(now)
 	s.since, s.stale, s.rankAt = 0, false, now
 }
 
+// countWarm tells the estimate of capacities how many workers there are that show it.
+func (s *Scheduler) countWarm(now float64) {
+	for kind := range s.warmOf {
+		s.warmOf[kind] = 0
+	}
+	for _, w := range s.list {
+		if w.State == Running && !s.cold(now, w) {
+			s.warmOf[w.Kind]++
+		}
+	}
+	for kind, n := range s.warmOf {
+		s.capacity.Workers(now, kind, n)
+	}
+}
+
 // band tells in which of n bands of equal work a cost lies, by the histogram as it was at the last ranking.
 // Within a bin the cut lies where the share is reached, or all jobs of one cost go to one band.
 func (s *Scheduler) band(n int, cost float64) int {
@@ -559,8 +582,8 @@
 	ranks := s.rankingOf(t.row())
 	among := func(w *worker) bool { return w != nil && w.placed && w.slots[ranks.no] >= 0 }
 	// Among many a turn at a cold worker meets few txns, and left to the ranks most of it would pass unused.
-	for _, w := range s.turns {
-		inTime := t.run() < s.share(warmEarly*(now-w.Start))*(t.due-now)
+	for _, w := range s.starting {
+		inTime := t.run() < s.limits().Share(warmEarly*(now-w.Start))*(t.due-now)
 		if s.thin() && inTime && among(w) && s.fits(now, t, w) {
 			return w
 		}
@@ -796,67 +819,43 @@
 	return w.Start > 0 && now-w.Start < s.terms.ColdFor
 }
 
-// share is the least part of its capacity that a worker has by its age.
-func (s *Scheduler) share(age float64) float64 {
-	return min(s.terms.ColdFrom+(1-s.terms.ColdFrom)*max(age, 0)/s.terms.ColdFor, 1)
+// limits is what the settings allow workers in slow start.
+func (s *Scheduler) limits() slowstart.Limits {
+	t := s.terms
+	return slowstart.Limits{InitialShare: t.ColdFrom, WarmUp: t.ColdFor, Window: t.Fall, Multiple: t.FallTimes}
 }
 
-// wide is how many times as many schedulers share a turn as bring a cold worker its part of the work. Few
-// bring it together in any case. Of many each has only a txn or two in that time, and few of them fit.
-func (s *Scheduler) wide() float64 {
-	peers := float64(s.terms.Peers)
-	return max(min(6*peers/float64(max(s.running, 1)), peers/10, wideMost), 1)
+// quota is what this scheduler may send to a worker in slow start in any window.
+func (s *Scheduler) quota(now float64, w *worker) slowstart.Quota {
+	fleet := slowstart.Fleet{Number: s.terms.Me, Size: s.terms.Peers}
+	return s.limits().Quota(fleet, w.hash, now-w.Start, s.carries(w), s.requests())
 }
 
-// turn tells whether it is this scheduler's turn at a cold worker, and with which part of the budget. Few
-// share half of it evenly, or a quarter, as they fill both turns that a window may meet. Where many have a
-// turn the first may send all of it, for the heavy, the k-th one txn of a k-th part at the most.
-func (s *Scheduler) turn(now float64, w *worker) (part float64, mine bool) {
-	age, peers, wide := now-w.Start, max(s.terms.Peers, 1), s.wide()
-	if peers == 1 {
-		return coldPart, true
-	}
-	at := int(age / s.terms.Fall)
-	each := 2 * wide * float64(peers) / float64(max(s.running, 1))
-	k, most := max(int(each*s.share(float64(at)*s.terms.Fall)), 1), max(int(each), 1)
-	// Each worker's turns begin elsewhere, or one scheduler would have all workers of a deploy at once.
-	place := ((s.terms.Me-at*most-int(w.hash%uint32(peers)))%peers + peers) % peers
-	switch {
-	case wide > 1:
-		part = 1 / float64(place+1)
-	case s.thin():
-		part = coldPart / float64(k)
-	default:
-		part = coldPart / 2 / float64(k)
-	}
-	return part, place < k
+// requests is what is known of the requests that come.
+func (s *Scheduler) requests() slowstart.Requests {
+	return slowstart.Requests{MeanWork: s.meanWork(), Heaviest: s.heaviest, Unhinted: s.came >= unhintedFrom && s.hinted < unhintedPart*s.came}
 }
 
 // carries estimates what a warm worker of the same size carries at the least, in jobs at the pace of their
-// hints: the most own ones seen together, at the pace that they had there. It is worked out once a ranking.
-// Among many own ones seldom meet, so it is about one for all: by what each had settled lately some took a
-// worker for five times what others did, and they alone came near the limit.
+// hints: as many own ones as ran together at the pace that they had then, or what all schedulers settle at one in
+// the mean. (The most own ones ever seen together, at the pace of those that ran alone, were all the slots of a
+// worker with half as many cores.) It is worked out once a ranking.
 func (s *Scheduler) carries(w *worker) float64 {
 	like := size{w.Kind, w.Weight}
 	if _, ok := s.carried[like]; !ok {
 		slots := 1.0
 		for _, o := range s.list {
 			if o.Kind == w.Kind && o.Weight <= w.Weight*1.01 {
-				slots = max(slots, float64(o.most)*min(o.pace.at(0.5, 1), 1))
+				slots = max(slots, min(float64(o.most), o.runs.at(0.5, float64(o.most))))
 			}
 		}
-		if s.wide() > 1 {
-			// The parts of a wide turn add up to twice its budget, and two turns meet in a window: what is left
-			// for that, and for rough hints, is the less the sooner a worker falls.
-			slots = min(slots, max(s.terms.FallTimes/2, 1))
-		}
+		slots = max(slots, s.capacity.PerWorker(s.rankAt, w.Kind, s.terms.Peers))
 		s.carried[like] = slots
 	}
 	return s.carried[like]
 }
 
-// warm keeps rule 4: until a worker counts as warm, this scheduler sends it work only in its own turn, up to
-// its part of the budget of the window.
+// warm keeps rule 4: until a worker counts as warm, this scheduler sends it no more than its quota.
 func (s *Scheduler) warm(now float64, t *txn, w *worker) bool {
 	if !s.cold(now, w) {
 		return true
@@ -864,27 +863,15 @@
 	if now < s.coldAt {
 		return false
 	}
-	part, mine := s.turn(now, w)
-	if !mine {
-		return false
-	}
-	share := s.share(now - w.Start - s.terms.Fall)
-	budget := s.terms.FallTimes * share * s.terms.Fall * s.carries(w) * part
-	alone := true
-	for _, x := range w.sent {
-		if now-x.at <= s.terms.Fall {
-			budget -= x.work
-			alone = false
-		}
-	}
-	if part < 1 && s.wide() > 1 {
-		return alone && s.coldCost(t) <= budget // many small ones of each were too much together, or one unhinted
+	quota, sent := s.quota(now, w), w.sent.Within(now, s.terms.Fall)
+	if t.Hint > 0 {
+		return quota.Admits(sent, t.cost)
 	}
-	return s.coldCost(t) <= budget || t.Hint <= 0 && alone
+	return quota.AdmitsUnhinted(sent, s.coldCost(t))
 }
 
 // coldCost is what a txn counts for at a cold worker. One without a hint counts as the heaviest of the last
-// settled: at the median, a few heavy ones pushed workers over. So as not to starve, one may go alone.
+// settled: at the median, a few heavy ones pushed workers over.
 func (s *Scheduler) coldCost(t *txn) float64 {
 	if t.Hint > 0 {
 		return t.cost
@@ -971,10 +958,7 @@
 		return Post{}, false
 	}
 	if s.cold(now, to) {
-		to.sent = append(to.sent, sending{now, s.coldCost(best)})
-		if now-to.sent[0].at > s.terms.Fall {
-			to.sent = to.sent[1:]
-		}
+		to.sent.Add(now, s.terms.Fall, s.coldCost(best))
 	}
 	p := &posting{t: best, w: to, no: len(best.posts), at: now}
 	if best.posts = append(best.posts, p); p.no > 0 {
--- a/balance/known.go
+++ b/balance/known.go
@@ -72,13 +72,28 @@
 	if len(s.costs) < costsKept {
 		s.costs = append(s.costs, b)
 	} else {
+		s.allCosts -= costs[s.costs[s.costAt]]
 		s.bins[s.costs[s.costAt]]--
 		s.costs[s.costAt] = b
 		s.costAt = (s.costAt + 1) % costsKept
 	}
+	s.allCosts += costs[b]
 	s.bins[b]++
 }
 
+// meanWork is what a request costs in the mean: by the hints of all that came or by what settled lately, whichever is
+// more, as some come with no hint, and what a worker is allowed is fewer requests the more they cost.
+func (s *Scheduler) meanWork() float64 {
+	mean := s.capacity.MeanWork()
+	if n := len(s.costs); n > 0 {
+		mean = max(mean, s.allCosts/float64(n))
+	}
+	if mean == 0 {
+		return workUnknown
+	}
+	return mean
+}
+
 // costs holds each bin's cost.
 var costs = func() (c [numBins]float64) {
 	for b := range c {
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -2,7 +2,11 @@
 // first those that cross its edge, then those in which it keeps what it knows. Times are milliseconds.
 package balance
 
-import "slices"
+import (
+	"slices"
+
+	"shalebeam/balance/slowstart"
+)
 
 // Effect says what a repeat of a txn does.
 type Effect int
@@ -198,11 +202,11 @@
 	ill      map[string]ill // the same of single schemes, by name
 	probing  bool
 	probedAt float64
-	begunAt  float64   // when the last one of those that have begun there was posted
-	usedAt   float64   // when an own posting last ended there
-	heardAt  float64   // when it last began or settled a posting, or answered a probe
-	sent     []sending // while still cold
-	rankLoad float64   // at the last ranking
+	begunAt  float64       // when the last one of those that have begun there was posted
+	usedAt   float64       // when an own posting last ended there
+	heardAt  float64       // when it last began or settled a posting, or answered a probe
+	sent     slowstart.Log // while still cold
+	rankLoad float64       // at the last ranking
 	rankZone int
 	rankKind int
 	place    uint32 // in the list
@@ -215,7 +219,8 @@
 	hash     uint32
 	delay    samples
 	pace     samples // hinted running times as parts of the real ones
-	bears    samples // how many would have run here at the pace of their hints
+	bears    samples // how many would have run here at the pace of their hints, of all that are known of
+	runs     samples // the same of own ones that had begun
 }
 
 // staffed is a worker that staff took out: whether it still is, since when, and when it was put back (0:
