--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,8 +43,7 @@
 	watchAnswer   = 2000.0 // a list service turns away what has waited longer for its answer
 	manyPeers     = 5      // each then sees a fifth of the work at the most, about a job a worker
 	warmEarly     = 2.0    // among many: a worker is taken to be warm so many times sooner than at the latest
-	unhintedPart  = 0.1    // fewer txns with a hint than this part, and hints are taken to be none
-	unhintedFrom  = 10.0   // so many txns show whether hints come
+	runsNeeded    = 3      // so many runs show what a worker carries
 	workUnknown   = 100.0  // taken for a request's work before anything is known of it
 	settledKept   = 50     // enough that one heavy job is a small part, few enough to follow the day
 	mostBytes     = 255    // of a message, a whole number of entries
@@ -55,78 +54,78 @@
 
 // Scheduler holds all that one scheduler knows.
 type Scheduler struct {
-	terms        *Terms // as last told; a txn keeps those it came under
-	seeded       uint32 // the seed's part of each draw
-	draws        uint32
-	born         float64   // when the first list came
-	stopAt       float64   // when this scheduler ends
-	coldAt       float64   // before this it sends nothing to cold workers
-	yields       bool      // another process of this scheduler decides for it
-	ledAt        float64   // when it did last
-	took         []float64 // when txns came, and postings beyond their first went out, in the budget's window
-	further      []float64
-	txns         map[string]*txn
-	held         queue      // open txns that want a posting: none is out, or the one that is out is in doubt
-	due          [2]alarms  // when those are given up, without and with overload
-	oldest       alarms     // those with nothing out, by when they came
-	excess       []*txn     // with more postings out than needed: answered, or one has begun
-	waits        []*posting // those out that have not begun, in the order in which they were made
-	oldestOut    alarms     // their txns, by when they came
-	byID         map[string]*worker
-	staffed      map[string]*staffed  // workers that staff took out, now or before
-	list         []*worker            // those the list names, in its order
-	ranks        []*ranking           // of all workers, then one for each set of them that a scheme is bound to
-	touched      []*worker            // whose load may have changed since the last ranking
-	young        []*worker            // those that may be cold, in the list's order
-	sick         []*worker            // those that failed lately
-	fulls        []sighting           // when workers showed themselves full, in order
-	below        [numBins + 1]float64 // work in the histogram below each bin, at the last ranking
-	costs        []uint8
-	costAt       int
-	bins         [numBins]int
-	allCosts     float64  // the sum of those kept
-	came, hinted float64  // txns so far, and those of them with a hint
-	keys         []uint32 // of the last keyed txns
-	asked        map[uint32]int
-	since        int // completions since the last ranking
-	rankAt       float64
-	sizes        map[int]float64 // the most weight seen, by kind, where weights are lowered by load
-	stale        bool            // the list changed since the last ranking
-	settled      []sending       // the last txns settled
-	heaviest     float64         // the most work of them
-	runs         samples         // running times
-	left         *worker         // where an own job last ended
-	leftAt       float64
-	starting     []*worker // cold ones at which this scheduler has a quota
-	live         int       // workers that the list shows as running
-	carried      map[size]float64
-	capacity     slowstart.Capacity
-	warmOf       map[int]int          // warm workers by kind, at the last ranking
-	none         map[*ranking]float64 // the least cost that no worker takes at this decision
-	salt         uint32               // the first draw of the last ranking
-	near, far    float64              // the way to workers of the own zone and of others
-	delays       samples              // times from posting to start
-	tightest     float64              // SLA time of any scheme
-	richest      float64              // the most gain that a txn of any scheme has
-	longest      []float64
-	tenants      []tenant
-	pulls        int    // postings asked for so far
-	news         []news // still to be told among many
-	toldTo       uint16 // see outs
-	moves, told  int    // postings made or ended so far, and when peers were last told
-	toldAt       float64
-	heardAt      map[int]float64 // when each peer last told
-	listTill     float64         // see Relies
-	watching     bool
-	watchAt      float64
-	watchBad     int
+	terms       *Terms // as last told; a txn keeps those it came under
+	seeded      uint32 // the seed's part of each draw
+	draws       uint32
+	born        float64   // when the first list came
+	stopAt      float64   // when this scheduler ends
+	coldAt      float64   // before this it sends nothing to cold workers
+	yields      bool      // another process of this scheduler decides for it
+	ledAt       float64   // when it did last
+	took        []float64 // when txns came, and postings beyond their first went out, in the budget's window
+	further     []float64
+	txns        map[string]*txn
+	held        queue      // open txns that want a posting: none is out, or the one that is out is in doubt
+	due         [2]alarms  // when those are given up, without and with overload
+	oldest      alarms     // those with nothing out, by when they came
+	excess      []*txn     // with more postings out than needed: answered, or one has begun
+	waits       []*posting // those out that have not begun, in the order in which they were made
+	oldestOut   alarms     // their txns, by when they came
+	byID        map[string]*worker
+	staffed     map[string]*staffed  // workers that staff took out, now or before
+	list        []*worker            // those the list names, in its order
+	ranks       []*ranking           // of all workers, then one for each set of them that a scheme is bound to
+	touched     []*worker            // whose load may have changed since the last ranking
+	young       []*worker            // those that may be cold, in the list's order
+	sick        []*worker            // those that failed lately
+	fulls       []sighting           // when workers showed themselves full, in order
+	below       [numBins + 1]float64 // work in the histogram below each bin, at the last ranking
+	costs       []uint8
+	costAt      int
+	bins        [numBins]int
+	allCosts    float64        // the sum of those kept
+	work        slowstart.Work // what txns cost
+	keys        []uint32       // of the last keyed txns
+	asked       map[uint32]int
+	since       int // completions since the last ranking
+	rankAt      float64
+	sizes       map[int]float64 // the most weight seen, by kind, where weights are lowered by load
+	stale       bool            // the list changed since the last ranking
+	settled     []sending       // the last txns settled
+	heaviest    float64         // the most work of them
+	runs        samples         // running times
+	left        *worker         // where an own job last ended
+	leftAt      float64
+	starting    []*worker // cold ones at which this scheduler has a quota
+	live        int       // workers that the list shows as running
+	carried     map[size]float64
+	capacity    slowstart.Capacity
+	warmOf      map[int]float64      // sizes of all warm workers, by kind, at the last ranking
+	none        map[*ranking]float64 // the least cost that no worker takes at this decision
+	salt        uint32               // the first draw of the last ranking
+	near, far   float64              // the way to workers of the own zone and of others
+	delays      samples              // times from posting to start
+	tightest    float64              // SLA time of any scheme
+	richest     float64              // the most gain that a txn of any scheme has
+	longest     []float64
+	tenants     []tenant
+	pulls       int    // postings asked for so far
+	news        []news // still to be told among many
+	toldTo      uint16 // see outs
+	moves, told int    // postings made or ended so far, and when peers were last told
+	toldAt      float64
+	heardAt     map[int]float64 // when each peer last told
+	listTill    float64         // see Relies
+	watching    bool
+	watchAt     float64
+	watchBad    int
 }
 
 // New returns a scheduler that knows nothing but its terms.
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{txns: map[string]*txn{}, byID: map[string]*worker{},
 		born: -1, ledAt: math.Inf(-1), stopAt: math.Inf(1), listTill: math.Inf(1),
-		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{}, warmOf: map[int]int{},
+		staffed: map[string]*staffed{}, asked: map[uint32]int{}, carried: map[size]float64{}, warmOf: map[int]float64{},
 		none: map[*ranking]float64{}, sizes: map[int]float64{}, heardAt: map[int]float64{},
 	}
 	s.seeded = ^crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, terms.Seed))
@@ -195,8 +194,8 @@
 // Arrived takes a new txn, which is now owed one final answer.
 func (s *Scheduler) Arrived(now float64, x Txn) {
 	t := &txn{Txn: x, terms: s.terms, came: now, until: now + x.Left, hash: crc32.ChecksumIEEE([]byte(x.Key))}
-	if s.came++; x.Hint > 0 {
-		s.hinted++
+	s.work.Arrived(x.Hint > 0)
+	if x.Hint > 0 {
 		t.cost = x.Hint * max(x.Slots, 1)
 		s.keepCost(t.cost)
 	} else {
@@ -292,11 +291,14 @@
 		work := t.cost
 		if t.Hint <= 0 && p.begun {
 			work = (now - p.start) * max(t.Slots, 1)
+			s.work.Settled(work)
 		}
 		if s.settled = append(s.settled, sending{now, work}); len(s.settled) > settledKept {
 			s.settled = s.settled[1:]
 		}
-		s.capacity.Settled(now, w.Kind, !s.cold(now, w), work)
+		if !s.cold(now, w) {
+			s.capacity.Settled(now, w.Kind, work)
+		}
 		s.heaviest = slices.MaxFunc(s.settled, func(a, b sending) int { return cmp.Compare(a.work, b.work) }).work
 		w.fails, w.aside, w.bad, w.heardAt = 0, 0, 0, now
 		if v, was := w.ill[t.row().Name]; was {
@@ -312,8 +314,8 @@
 				w.pace.add(t.run() / max(now-p.start, 1))
 			}
 			w.bears.add(float64(w.known()+1) * t.run() / max(now-p.start, 1))
-			w.runs.add(float64(len(w.own)-w.unbegun+1) * t.run() / max(now-p.start, 1))
 			w.limit = limit(w.bears.at(0.5, 0))
+			w.runs.add(float64(len(w.own)-w.unbegun+1) * t.run() / max(now-p.start, 1))
 		}
 		for _, q := range t.posts {
 			if q.unfit { // another settled it, so the fault was that worker's
@@ -486,19 +488,27 @@
 	s.since, s.stale, s.rankAt = 0, false, now
 }
 
-// countWarm tells the estimate of capacities how many workers there are that show it.
+// countWarm tells the estimate of capacities which workers show it.
 func (s *Scheduler) countWarm(now float64) {
 	for kind := range s.warmOf {
 		s.warmOf[kind] = 0
 	}
 	for _, w := range s.list {
 		if w.State == Running && !s.cold(now, w) {
-			s.warmOf[w.Kind]++
+			s.warmOf[w.Kind] += s.sizeOf(w)
 		}
 	}
-	for kind, n := range s.warmOf {
-		s.capacity.Workers(now, kind, n)
+	for kind, size := range s.warmOf {
+		s.capacity.Warm(now, kind, size)
+	}
+}
+
+// sizeOf is a worker's size against others of its kind, as far as the list tells it.
+func (s *Scheduler) sizeOf(w *worker) float64 {
+	if s.terms.LiveWeight {
+		return 1 // its weight says how full it is
 	}
+	return max(w.Weight, 1e-3)
 }
 
 // band tells in which of n bands of equal work a cost lies, by the histogram as it was at the last ranking.
@@ -833,23 +843,23 @@
 
 // requests is what is known of the requests that come.
 func (s *Scheduler) requests() slowstart.Requests {
-	return slowstart.Requests{MeanWork: s.meanWork(), Heaviest: s.heaviest, Unhinted: s.came >= unhintedFrom && s.hinted < unhintedPart*s.came}
+	return slowstart.Requests{MeanWork: s.meanWork(), Heaviest: s.heaviest, Unhinted: s.work.Unhinted()}
 }
 
 // carries estimates what a warm worker of the same size carries at the least, in jobs at the pace of their
-// hints: as many own ones as ran together at the pace that they had then, or what all schedulers settle at one in
-// the mean. (The most own ones ever seen together, at the pace of those that ran alone, were all the slots of a
-// worker with half as many cores.) It is worked out once a ranking.
+// hints: as many own ones as run together there at the pace that they have then, or what all schedulers settle at
+// one in the mean. (The most own ones ever seen together were all the slots of a worker with half as many cores, or
+// more where some had ended and nobody said so.) It is worked out once a ranking.
 func (s *Scheduler) carries(w *worker) float64 {
 	like := size{w.Kind, w.Weight}
 	if _, ok := s.carried[like]; !ok {
 		slots := 1.0
 		for _, o := range s.list {
 			if o.Kind == w.Kind && o.Weight <= w.Weight*1.01 {
-				slots = max(slots, min(float64(o.most), o.runs.at(0.5, float64(o.most))))
+				slots = max(slots, o.carried())
 			}
 		}
-		slots = max(slots, s.capacity.PerWorker(s.rankAt, w.Kind, s.terms.Peers))
+		slots = max(slots, s.capacity.Of(s.rankAt, w.Kind, s.sizeOf(w), s.terms.Peers))
 		s.carried[like] = slots
 	}
 	return s.carried[like]
--- a/balance/known.go
+++ b/balance/known.go
@@ -81,17 +81,16 @@
 	s.bins[b]++
 }
 
-// meanWork is what a request costs in the mean: by the hints of all that came or by what settled lately, whichever is
-// more, as some come with no hint, and what a worker is allowed is fewer requests the more they cost.
+// meanWork is what a request costs in the mean.
 func (s *Scheduler) meanWork() float64 {
-	mean := s.capacity.MeanWork()
+	hinted := 0.0
 	if n := len(s.costs); n > 0 {
-		mean = max(mean, s.allCosts/float64(n))
+		hinted = s.allCosts / float64(n)
 	}
-	if mean == 0 {
-		return workUnknown
+	if mean := s.work.Mean(hinted); mean > 0 {
+		return mean
 	}
-	return mean
+	return workUnknown
 }
 
 // costs holds each bin's cost.
@@ -355,6 +354,14 @@
 	return len(w.own) + w.told
 }
 
+// carried is how many own postings, at the pace of their hints, ran here together half of the time; 1 where few did.
+func (w *worker) carried() float64 {
+	if w.runs.n < runsNeeded {
+		return 1
+	}
+	return min(w.runs.at(0.5, 1), float64(w.most))
+}
+
 // Gone tells that a client has left, or that its txn is over.
 func (s *Scheduler) Gone(now float64, ref string) {
 	if t := s.txns[ref]; t != nil {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -211,6 +211,9 @@
 			s := started(terms, 21)
 			for _, w := range s.list {
 				w.most = 8
+				for range runsNeeded {
+					w.runs.add(8)
+				}
 			}
 			s.rerank(1)
 			w := s.list[0]
--- a/balance/slowstart/slowstart.go
+++ b/balance/slowstart/slowstart.go
@@ -18,6 +18,9 @@
 	// it may cost: its hint may be far too low, while many hints are off by less together.
 	heaviestShare = 1.0 / 3
 	heaviestUnits = 4
+	// Where fewer requests than unhintedPart bring hints there are taken to be none; so many requests show it.
+	unhintedPart = 0.1
+	unhintedFrom = 10
 	// fewRequests is how many allowed requests are few: more of the budget is then for chance.
 	fewRequests = 30
 )
@@ -65,6 +68,42 @@
 	return ((f.Number-int(worker%uint32(size)))%size + size) % size
 }
 
+// Work is what requests cost by what a scheduler has seen of them.
+type Work struct{ hinted, unhinted, settled, sum float64 }
+
+// Arrived tells that a request came, with a hint of its work or without.
+func (w *Work) Arrived(hinted bool) {
+	if hinted {
+		w.hinted++
+	} else {
+		w.unhinted++
+	}
+}
+
+// Settled tells what a request without a hint has cost.
+func (w *Work) Settled(cost float64) {
+	w.settled++
+	w.sum += cost
+}
+
+// Unhinted tells whether next to no requests bring hints.
+func (w *Work) Unhinted() bool {
+	came := w.hinted + w.unhinted
+	return came >= unhintedFrom && w.hinted < unhintedPart*came
+}
+
+// Mean is what a request costs in the mean, given what those with hints do; 0 where nothing is known. Those without are
+// weighed as they come: of what settles they are a smaller part as long as workers are in slow start.
+func (w *Work) Mean(ofHinted float64) float64 {
+	switch {
+	case w.settled == 0:
+		return ofHinted
+	case w.hinted == 0 || ofHinted == 0:
+		return w.sum / w.settled
+	}
+	return (w.hinted*ofHinted + w.unhinted*w.sum/w.settled) / (w.hinted + w.unhinted)
+}
+
 // Requests is what a scheduler knows of the requests that come.
 type Requests struct {
 	MeanWork float64 // of one, in milliseconds at the pace of the hints
--- a/balance/slowstart/slowstart_test.go
+++ b/balance/slowstart/slowstart_test.go
@@ -149,32 +149,60 @@
 	sum := 0.0
 	for range schedulers {
 		var c Capacity
-		c.Workers(0, kind, workers)
+		c.Warm(0, kind, workers)
 		// All settle as much as 2 cores of each worker do: jobs of 100 ms, so many a second.
 		for at := 0.0; at < 60000; at += draw.ExpFloat64() * 100 * schedulers / (2 * workers) {
-			c.Settled(at, kind, true, 100*draw.ExpFloat64())
-			c.Settled(at, kind, false, 100*draw.ExpFloat64()) // at workers in slow start, which show nothing of a warm one
+			c.Settled(at, kind, 100*draw.ExpFloat64())
 		}
-		got := c.PerWorker(60000, kind, schedulers)
+		got := c.Of(60000, kind, 1, schedulers)
 		if sum += got; got > 2.5 {
 			t.Errorf("a worker that carries 2 is taken for %.2f", got)
 		}
-		if c.PerWorker(60000, kind+1, schedulers) != 0 {
-			t.Error("something is known of a kind that settled nothing")
+		if half := c.Of(60000, kind, 0.5, schedulers); math.Abs(half-got/2) > 1e-9 {
+			t.Errorf("one of half the size is taken for %.2f", half)
 		}
-		if mean := c.MeanWork(); mean < 85 || mean > 115 {
-			t.Errorf("requests of 100 ms cost %.0f in the mean", mean)
+		if c.Of(60000, kind+1, 1, schedulers) != 0 {
+			t.Error("something is known of a kind that settled nothing")
 		}
 	}
 	if mean := sum / schedulers; mean < 1.5 || mean > 2 {
 		t.Errorf("workers that carry 2 are taken for %.2f in the mean", mean)
 	}
 	var few Capacity
-	few.Workers(0, kind, 1)
+	few.Warm(0, kind, 1)
 	for range 4 {
-		few.Settled(10, kind, true, 1e6)
+		few.Settled(10, kind, 1e6)
 	}
-	if got := few.PerWorker(20, kind, schedulers); got != 0 {
+	if got := few.Of(20, kind, 1, schedulers); got != 0 {
 		t.Errorf("four requests tell of a capacity of %.2f", got)
 	}
 }
+
+// Requests without hints count in the mean as they come, not as they settle: where these are five in seven and the heavier
+// ones, workers that had few of them got half as many more requests than they are allowed.
+func TestMeanWorkIsOfWhatComes(t *testing.T) {
+	var w Work
+	if w.Mean(0) != 0 || w.Mean(95) != 95 {
+		t.Error("something is known though nothing came")
+	}
+	for i := range 70 {
+		if w.Arrived(i%7 < 2); w.Unhinted() {
+			t.Error("two in seven bring hints")
+		}
+	}
+	w.Settled(160)
+	w.Settled(200)
+	if got := w.Mean(95); math.Abs(got-(2*95+5*180)/7.0) > 1e-9 {
+		t.Errorf("the mean is %g", got)
+	}
+	var none Work
+	for range 9 {
+		none.Arrived(false)
+	}
+	if none.Unhinted() {
+		t.Error("nine requests show that none bring hints")
+	}
+	if none.Arrived(false); !none.Unhinted() {
+		t.Error("ten requests without a hint show nothing")
+	}
+}
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -220,7 +220,7 @@
 	delay    samples
 	pace     samples // hinted running times as parts of the real ones
 	bears    samples // how many would have run here at the pace of their hints, of all that are known of
-	runs     samples // the same of own ones that had begun
+	runs     samples // how many own ones ran together here, at the pace of their hints
 }
 
 // staffed is a worker that staff took out: whether it still is, since when, and when it was put back (0:
