--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -48,6 +48,17 @@
 	return got
 }
 
+// Discovery ends the watches of most of 150 schedulers with a status, and is then crowded by all that call at once: what it
+// turns away late is no sign that it is down, and a drain that it tells to others meanwhile counts as told after 6 s. (Known
+// red: docs/design/told.md. Not taken for a sign, herd+mass falls from 0.787 to 0.694, as a discovery that is down does the same.)
+func TestACrowdAfterEndedWatchesIsNotAnOutage(t *testing.T) {
+	for _, r := range days(t, plan.Told, 242, 1, "adus") {
+		for _, b := range r.Breaks {
+			t.Errorf("%s: %s", r.Plan, b)
+		}
+	}
+}
+
 // The clean module breaks no rule on rough days; beamlab soak plays more of them.
 func TestRoughDaysAreClean(t *testing.T) {
 	txns := 0
