--- a/balance/balance.go
+++ b/balance/balance.go
@@ -310,12 +310,10 @@
 		s.left, s.leftAt = w, now
 		if p.begun && t.Hint > 0 {
 			s.runs.add(now - p.start)
-			if 2*w.known() < w.most { // not crowded, so it shows the worker's own pace
-				w.pace.add(t.run() / max(now-p.start, 1))
-			}
-			w.bears.add(float64(w.known()+1) * t.run() / max(now-p.start, 1))
+			pace := t.run() / max(now-p.start, 1)
+			w.bears.add(float64(w.known()+1) * pace)
 			w.limit = limit(w.bears.at(0.5, 0))
-			w.runs.add(float64(len(w.own)-w.unbegun+1) * t.run() / max(now-p.start, 1))
+			w.runs.add(float64(len(w.own)-w.unbegun+1) * pace)
 		}
 		for _, q := range t.posts {
 			if q.unfit { // another settled it, so the fault was that worker's
@@ -591,7 +589,7 @@
 func (s *Scheduler) pick(now float64, t *txn) *worker {
 	ranks := s.rankingOf(t.row())
 	among := func(w *worker) bool { return w != nil && w.placed && w.slots[ranks.no] >= 0 }
-	// Among many a turn at a cold worker meets few txns, and left to the ranks most of it would pass unused.
+	// Among many a quota at a cold worker meets few txns, and left to the ranks most of it would pass unused.
 	for _, w := range s.starting {
 		inTime := t.run() < s.limits().Share(warmEarly*(now-w.Start))*(t.due-now)
 		if s.thin() && inTime && among(w) && s.fits(now, t, w) {
--- a/balance/terms.go
+++ b/balance/terms.go
@@ -218,7 +218,6 @@
 	sick     bool   // it is among those that failed lately
 	hash     uint32
 	delay    samples
-	pace     samples // hinted running times as parts of the real ones
 	bears    samples // how many would have run here at the pace of their hints, of all that are known of
 	runs     samples // how many own ones ran together here, at the pace of their hints
 }
