Review: a quiet scheduler's memory grows until it is killed

Need: an independent review looks for orders of events that break the gravest promises. Change: review/2, a script with its stand-ins: short jobs without a moment of overload until the memory limit.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,5 +1,5 @@
-// Command 2 is the review's second case: a client that sends several requests at once on one connection loses all of them, the one
-// that runs included, if more than 80 KiB wait behind it.
+// Command 2 is the review's second case: the scheduler keeps a piece of every txn for as long as it never has a moment of overload,
+// until it is over its memory limit and the platform kills it.
 package main
 
 import (
@@ -10,8 +10,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,14 +22,18 @@
 
 var schemes = []standin.Scheme{
 	{Name: "price-check", Effect: "retryable", Scope: "all", SLAMs: 500, ExpiryMs: 7500, WindowMs: 5000, Gain: 2, LateGain: 0.2, Stretch: 2},
-	{Name: "stock-reserve", Effect: "fragile", Scope: "all", SLAMs: 1000, ExpiryMs: 15000, WindowMs: 5000, Gain: 2, LateGain: 0.2, Stretch: 1.75},
 }
 
 const (
-	clientCount = 6
-	perClient   = 4        // requests that each sends at once
-	bodyBytes   = 40 << 10 // of each: under the 64 KiB that a body may hold
-	runMs       = 300
+	memoryMB    = 32
+	sockets     = 256
+	perSecond   = 1000
+	runMs       = 4
+	clientCount = 24
+	lasts       = 110 * time.Second
+	burstEvery  = 5 * time.Second // without the disruption
+	burstTxns   = 80
+	burstRunMs  = 250 // 80 of these on 24 slots: the last ones wait some 0.6 s
 )
 
 func main() {
@@ -50,6 +56,7 @@
 	}
 	defer os.RemoveAll(temp)
 	fleet := standin.NewFleet(record)
+	fleet.Quiet = true
 	var hosts []standin.Host
 	zones := []string{"north-yard", "water-plant"}
 	for i := range 8 {
@@ -63,7 +70,7 @@
 	if err != nil {
 		return 2, err
 	}
-	listen, err := standin.FreeAddr("127.0.83.1")
+	listen, err := standin.FreeAddr("127.0.86.1")
 	if err != nil {
 		return 2, err
 	}
@@ -75,7 +82,8 @@
 		return 2, err
 	}
 	n.Config = map[string]any{"name": n.Name, "listen": listen, "discovery": discovery.Addr, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": standin.Settings(zones, 0, 0, 1, schemes)}
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
+		"settings": standin.Settings(zones, 0, 0, 1, schemes)}
 	p, err := n.Start(discovery.Whole(), "")
 	if err != nil {
 		return 2, err
@@ -87,110 +95,124 @@
 	if err := standin.Await("http://"+listen+"/_health", 10*time.Second); err != nil {
 		return 2, err
 	}
-	record.Printf("the scheduler is ready")
+	record.Printf("the scheduler is ready, %.1f MiB of its own memory", ownMemory(p))
 
+	stop := time.Now().Add(lasts)
 	var clients sync.WaitGroup
+	var killed atomic.Bool
+	var answers [4]atomic.Int64 // 200, other, none, sent
+	txn := func(c net.Conn, in *bufio.Reader, id string, ms int) error {
+		body := fmt.Sprintf("%d drawing", ms)
+		answers[3].Add(1)
+		_, err := fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nCookie: sid=7f3a9c21%s\r\nRequest-Timeout: %dm\r\n"+
+			"Work-Hint: %d\r\nContent-Length: %d\r\n\r\n%s", schemes[0].Name, id, id, schemes[0].ExpiryMs, ms*1000, len(body), body)
+		if err == nil {
+			var resp *http.Response
+			if resp, err = http.ReadResponse(in, nil); err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				switch {
+				case err != nil:
+				case resp.StatusCode == 200:
+					answers[0].Add(1)
+				default:
+					answers[1].Add(1)
+				}
+			}
+		}
+		if err != nil {
+			answers[2].Add(1)
+		}
+		return err
+	}
+	begun := time.Now()
 	for i := range clientCount {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			c := &client{number: i, record: record, answered: map[string]bool{}}
-			answers.Store(i, c)
-			c.err = c.play(listen, trouble)
-			if c.err != nil {
-				record.Printf("client %d: the connection ended: %v", i, c.err)
+			c, err := net.Dial("tcp", listen)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for k := 0; time.Now().Before(stop) && !killed.Load(); k++ {
+				due := begun.Add(time.Duration(k*clientCount+i) * time.Second / perSecond)
+				time.Sleep(time.Until(due))
+				if txn(c, in, fmt.Sprintf("9b1f03aa%02x%08x", i, k), runMs) != nil {
+					return
+				}
 			}
 		}()
 	}
+	for b := 0; !trouble && b < int(lasts/burstEvery); b++ {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			time.Sleep(time.Until(begun.Add(time.Duration(b)*burstEvery + burstEvery/2)))
+			var burst sync.WaitGroup
+			for i := range burstTxns {
+				burst.Add(1)
+				go func() {
+					defer burst.Done()
+					c, err := net.Dial("tcp", listen)
+					if err != nil {
+						return
+					}
+					defer c.Close()
+					_ = txn(c, bufio.NewReader(c), fmt.Sprintf("7ab200%02x%06x", i, b), burstRunMs)
+				}()
+			}
+			burst.Wait()
+		}()
+	}
+	most, over := 0.0, 0.0
+	for next := begun; time.Now().Before(stop); time.Sleep(100 * time.Millisecond) {
+		mb := ownMemory(p)
+		most = max(most, mb)
+		if time.Now().After(next) {
+			next = next.Add(5 * time.Second)
+			record.Printf("%.1f MiB; %d sent, %d served, %d refused or failed", mb, answers[3].Load(), answers[0].Load(), answers[1].Load())
+		}
+		if mb > memoryMB {
+			over = mb
+			record.Printf("BROKEN: %.1f MiB, over the limit of %d: the platform kills the scheduler, %d txns after its start", mb, memoryMB, answers[3].Load())
+			killed.Store(true)
+			p.Signal(syscall.SIGKILL)
+			break
+		}
+	}
 	clients.Wait()
-	time.Sleep(200 * time.Millisecond)
+	record.Printf("at most %.1f MiB; %d sent, %d served, %d refused or failed, %d without an answer", most, answers[3].Load(), answers[0].Load(),
+		answers[1].Load(), answers[2].Load())
 	if raw, err := os.ReadFile(n.Log.Name()); err == nil {
 		for line := range strings.SplitSeq(strings.TrimSpace(string(raw)), "\n") {
 			record.Printf("log of n0: %s", line)
 		}
 	}
-
-	// The rule: a request that a running scheduler took gets one final answer. Only those are judged that it had sent on to a worker:
-	// for others a client could still say that they were never read.
-	lost, sent := 0, map[string]bool{}
-	for _, a := range fleet.All() {
-		if sent[a.ID] {
-			continue
-		}
-		sent[a.ID] = true
-		answered := false
-		answers.Range(func(_, c any) bool { answered = answered || c.(*client).answered[a.ID]; return true })
-		if !answered {
-			lost++
-			record.Printf("BROKEN: id=%s went to %s and its client got no answer; its effects: %s", a.ID, a.Worker,
-				strings.Join(fleet.EffectsOf(a.ID), ", "))
-		}
-	}
-	record.Printf("%d requests were sent, %d reached a worker, %d of these got no answer", clientCount*perClient, len(sent), lost)
 	switch {
-	case lost > 0:
-		fmt.Printf("rule broken: %d requests that ran got no answer\n", lost)
+	case over > 0:
+		fmt.Printf("rule broken: the scheduler was killed at %.1f MiB, %.0f s after its start\n", over, time.Since(begun).Seconds())
 		return 1, nil
-	case len(sent) < clientCount:
-		fmt.Println("could not run: too few requests reached a worker")
+	case answers[0].Load() < int64(float64(perSecond)*lasts.Seconds()*0.8):
+		fmt.Println("could not run: the machine did not keep up")
 		return 2, nil
 	}
-	fmt.Println("the rule held")
+	fmt.Printf("the rule held: at most %.1f MiB\n", most)
 	return 0, nil
 }
 
-var answers sync.Map // by number, each *client
-
-type client struct {
-	number   int
-	record   *standin.Record
-	answered map[string]bool // by id; written before clients.Wait returns
-	err      error
-}
-
-func (c *client) id(k int) string { return fmt.Sprintf("7d2204bb19%02x%04x", c.number, k) }
-
-// play sends all requests at once, and reads the answers in order. Without trouble each is sent after the answer before it.
-func (c *client) play(addr string, atOnce bool) error {
-	conn, err := net.Dial("tcp", addr)
+// ownMemory is what the process holds without the pages of its program's file, in MiB.
+func ownMemory(p *standin.Process) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Cmd.Process.Pid))
 	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
-	in := bufio.NewReader(conn)
-	read := func(k int) error {
-		resp, err := http.ReadResponse(in, nil)
-		if err != nil {
-			return err
-		}
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return err
-		}
-		c.answered[c.id(k)] = true
-		c.record.Printf("client %d: id=%s answered %d %q", c.number, c.id(k), resp.StatusCode, body)
-		return nil
-	}
-	for k := range perClient {
-		text := fmt.Sprintf("%d ", runMs)
-		text += strings.Repeat("x", bodyBytes-len(text))
-		request := fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Timeout: %dm\r\n"+
-			"Work-Hint: %d\r\nContent-Length: %d\r\n\r\n%s", schemes[1].Name, c.id(k), schemes[1].ExpiryMs, runMs*1000, len(text), text)
-		if _, err := io.WriteString(conn, request); err != nil {
-			return err
-		}
-		c.record.Printf("client %d: id=%s sent whole, %d bytes", c.number, c.id(k), len(request))
-		if !atOnce {
-			if err := read(k); err != nil {
-				return err
-			}
-		}
+		return 0
 	}
-	for k := 0; atOnce && k < perClient; k++ {
-		if err := read(k); err != nil {
-			return err
+	kib := 0
+	for line := range strings.SplitSeq(string(raw), "\n") {
+		if f := strings.Fields(line); len(f) == 3 && (f[0] == "RssAnon:" || f[0] == "RssShmem:") {
+			n, _ := strconv.Atoi(f[1])
+			kib += n
 		}
 	}
-	return nil
+	return float64(kib) / 1024
 }
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -385,6 +385,7 @@
 // Fleet is all workers and what they were sent and ran.
 type Fleet struct {
 	Record *Record
+	Quiet  bool // nothing is kept of single attempts
 
 	mu       sync.Mutex
 	Attempts []*Attempt
@@ -479,6 +480,10 @@
 	f := w.fleet
 	a := &Attempt{ID: r.Header.Get("Request-Id"), Key: r.Header.Get("Idempotency-Key"), Path: r.URL.Path, Worker: w.ID, Zone: w.Zone,
 		At: f.Record.Seconds()}
+	if f.Quiet {
+		w.runQuietly(rw, r, a.ID, slots, runMs)
+		return
+	}
 	f.mu.Lock()
 	f.Attempts = append(f.Attempts, a)
 	f.mu.Unlock()
@@ -529,6 +534,20 @@
 	}
 }
 
+// runQuietly runs a job without a line in the record.
+func (w *Worker) runQuietly(rw http.ResponseWriter, r *http.Request, id string, slots chan struct{}, runMs int) {
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	case <-r.Context().Done():
+		return
+	}
+	fmt.Fprintf(rw, "{\"id\":%q,\"from\":%q,\"state\":\"started\"}\n", id, w.ID)
+	_ = http.NewResponseController(rw).Flush()
+	time.Sleep(time.Duration(runMs) * time.Millisecond)
+	fmt.Fprintf(rw, "{\"id\":%q,\"from\":%q,\"state\":\"done\",\"result\":\"ok\"}\n", id, w.ID)
+}
+
 // All returns the attempts so far.
 func (f *Fleet) All() []*Attempt {
 	f.mu.Lock()
