Review: a signal that ends a case ends its processes; case 2 leaves room in its time

Cause: a case that was ended from outside left its schedulers running, and the whole time of case 2 came near the 120 s. Change: SIGTERM and SIGINT end them; case 2 plays 105 s in place of 110.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -30,6 +30,7 @@
 )
 
 func main() {
+	standin.EndWithSignals()
 	trouble := os.Getenv("TROUBLE") // "0": no worker dies; "deaths": no upgrade
 	code, err := run(os.Args[1], trouble != "0", trouble != "deaths")
 	if err != nil {
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -30,13 +30,14 @@
 	perSecond   = 1000
 	runMs       = 4
 	clientCount = 24
-	lasts       = 110 * time.Second
+	lasts       = 105 * time.Second
 	burstEvery  = 5 * time.Second // without the disruption
 	burstTxns   = 80
 	burstRunMs  = 250 // 80 of these on 24 slots: the last ones wait some 0.6 s
 )
 
 func main() {
+	standin.EndWithSignals()
 	code, err := run(os.Args[1], os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "could not run:", err)
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -266,6 +267,26 @@
 	Log    *os.File
 }
 
+// started holds all processes, so that a signal that ends a case ends them too.
+var started struct {
+	mu  sync.Mutex
+	all []*Process
+}
+
+// EndWithSignals has SIGTERM and SIGINT end all processes that were started, and then the case.
+func EndWithSignals() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		started.mu.Lock()
+		for _, p := range started.all {
+			p.Signal(syscall.SIGKILL)
+		}
+		os.Exit(2)
+	}()
+}
+
 // Start writes the scheduler's configuration and starts a process of it.
 func (n *Node) Start(known List, mgmt string) (*Process, error) {
 	run, err := RunCommand()
@@ -291,9 +312,12 @@
 		p.Cmd.Env = append(p.Cmd.Env, "BALANCER_MGMT="+mgmt)
 	}
 	p.Cmd.Stdout, p.Cmd.Stderr = n.Log, n.Log
+	started.mu.Lock()
+	defer started.mu.Unlock()
 	if err := p.Cmd.Start(); err != nil {
 		return nil, err
 	}
+	started.all = append(started.all, p)
 	go func() { _ = p.Cmd.Wait(); close(p.Exited) }()
 	return p, nil
 }
