--- a/review/2/main.go
+++ b/review/2/main.go
@@ -27,10 +27,10 @@
 const (
 	memoryMB    = 32
 	sockets     = 256
-	perSecond   = 1000
+	perSecond   = 730
 	runMs       = 4
 	clientCount = 24
-	lasts       = 105 * time.Second
+	lasts       = 112 * time.Second
 	burstEvery  = 5 * time.Second // without the disruption
 	burstTxns   = 80
 	burstRunMs  = 250 // 80 of these on 24 slots: the last ones wait some 0.6 s
@@ -139,7 +139,7 @@
 			for k := 0; time.Now().Before(stop) && !killed.Load(); k++ {
 				due := begun.Add(time.Duration(k*clientCount+i) * time.Second / perSecond)
 				time.Sleep(time.Until(due))
-				if txn(c, in, fmt.Sprintf("9b1f03aa%02x%08x", i, k), runMs) != nil {
+				if txn(c, in, fmt.Sprintf("5d3a91c4-a399-47bd-ad74-%04x%08x", i, k), runMs) != nil {
 					return
 				}
 			}
@@ -160,7 +160,7 @@
 						return
 					}
 					defer c.Close()
-					_ = txn(c, bufio.NewReader(c), fmt.Sprintf("7ab200%02x%06x", i, b), burstRunMs)
+					_ = txn(c, bufio.NewReader(c), fmt.Sprintf("7ab200f1-a399-47bd-ad74-%04x%08x", i, b), burstRunMs)
 				}()
 			}
 			burst.Wait()
