Settled txns leave every index at once; a quiet scheduler's memory no longer grows

Cause: the indexes of txns by time (give-up times without and with overload, arrival of queued ones, arrival of unstarted ones) kept entries that had become obsolete, and dropped them only when they came to the top of the index that was read. The index of give-up times under overload is read under overload alone, so without it every txn stayed, with its postings and the request's head.

Fix: a txn knows its place in each index and is removed from all of them when it leaves the queue, or its last posting starts. What an index holds is bounded by what is open, whichever of them is read.

Tests failed before: TestQuietSchedulerForgetsSettledTxns (10,000 of 10,000 settled txns kept), TestSettledTxnsAreForgottenWhileAnotherWaits (the same while one txn waits, to its expiry) and TestStartedTxnsAreForgottenUnderOverload (the same as long as overload lasts).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -103,15 +103,12 @@
 	// open txns, and closed ones with postings in flight, by reference
 	txns map[string]*txn
 	// open txns that wait for a posting: none is in flight, or the one in flight is in doubt
-	queue txnQueue
-	// when queued txns are given up, without overload [0] and with it [1]
-	giveUpTimes     [2]txnHeap
-	queuedByArrival txnHeap // queued txns with nothing in flight, by arrival time
+	queue   txnQueue
+	indexes [numTxnIndexes]txnIndex // of queued txns, and of those with unstarted postings
 	// txns with superfluous postings in flight: the txn is closed, or one of several postings has started
 	cancelCandidates []*txn
 	// postings in flight that have not started, in the order in which they were made
-	unstarted          []*posting
-	unstartedByArrival txnHeap // txns of the unstarted postings, by arrival time
+	unstarted []*posting
 	// the workers of the list, and others with postings in flight
 	workersByID map[string]*worker
 	// operators' withdrawals of workers, present and past, by worker ID
@@ -192,6 +189,9 @@
 		capacityEstimates: map[workerSize]float64{}, warmSizes: map[int]float64{},
 		unplaceableCosts: map[*ranking]float64{}, maxWeights: map[int]float64{}, peerHeardAt: map[int]float64{},
 	}
+	for i := range s.indexes {
+		s.indexes[i].number = txnIndexNumber(i)
+	}
 	s.seedChecksum = ^crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, terms.Seed))
 	s.rankingFor(&SchemeRow{})
 	s.Retune(terms)
@@ -428,8 +428,8 @@
 			// away.
 			for i := range t.giveUpAt {
 				t.giveUpAt[i] = min(t.giveUpAt[i], now)
-				s.giveUpTimes[i].add(t.giveUpAt[i], t)
 			}
+			s.indexGiveUpTimes(t)
 		}
 	}
 }
@@ -626,7 +626,7 @@
 	if s.giveUpDependsOnQueues(t) {
 		return s.computeGiveUpTime(t, overloaded)
 	}
-	return t.giveUpAt[overloadIndex(overloaded)]
+	return t.giveUpAt[giveUpIndex(overloaded)]
 }
 
 // giveUpDependsOnQueues reports whether a txn's give-up time depends on the queue lengths that the list shows.
@@ -644,15 +644,7 @@
 			}
 		}
 	}
-	i := overloadIndex(overloaded)
-	due := &s.giveUpTimes[i]
-	for len(*due) > 0 {
-		if a := (*due)[0]; a.txn.queued && a.at == a.txn.giveUpAt[i] && !s.giveUpDependsOnQueues(a.txn) {
-			break
-		}
-		due.pop()
-	}
-	return min(at, due.earliest())
+	return min(at, s.indexes[giveUpIndex(overloaded)].earliest())
 }
 
 // tieBreak orders workers of equal load by the random number that belongs to this ranking and the worker's place
@@ -1019,18 +1011,12 @@
 
 // overloaded reports overload: the oldest queued txn has waited longer than the shortest SLA time.
 func (s *Scheduler) overloaded(now float64) bool {
-	for len(s.queuedByArrival) > 0 && !(s.queuedByArrival[0].txn.queued && s.queuedByArrival[0].txn.inFlight == 0) {
-		s.queuedByArrival.pop()
-	}
-	if now-s.queuedByArrival.earliest() > s.shortestSLAMs {
+	if now-s.indexes[queuedByArrival].earliest() > s.shortestSLAMs {
 		return true
 	}
 	// With many schedulers txns also wait in workers' queues, as the own postings do not show where slots are
 	// free.
-	for len(s.unstartedByArrival) > 0 && s.unstartedByArrival[0].txn.unstarted == 0 {
-		s.unstartedByArrival.pop()
-	}
-	return s.manySchedulers() && now-s.unstartedByArrival.earliest() > s.shortestSLAMs
+	return s.manySchedulers() && now-s.indexes[unstartedByArrival].earliest() > s.shortestSLAMs
 }
 
 // priority returns a queued txn's priority, highest first. Normally the txn with the least slack relative to its
@@ -1104,12 +1090,9 @@
 	bestWorker.inFlight = append(bestWorker.inFlight, p)
 	s.markDirty(bestWorker)
 	if s.terms.ReportsStart { // without start reports, not having started says nothing
-		s.unstarted = append(s.unstarted, p)
-		bestWorker.unstarted++
-		bestTxn.unstarted++
-		s.unstartedByArrival.add(bestTxn.arrivedAt, bestTxn)
+		s.addUnstarted(p)
 	}
-	s.queue.remove(bestTxn)
+	s.dequeue(bestTxn)
 	return Post{Ref: bestTxn.Ref, Worker: bestWorker.ID, LatestSendAt: s.dedupWindowEnd(bestTxn)}, true
 }
 
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -1,10 +1,8 @@
 package balance
 
 import (
-	"cmp"
 	"hash/crc32"
 	"math"
-	"slices"
 )
 
 // Handover of an open txn from one process of this scheduler to another, as in a hot restart: the old process
@@ -86,15 +84,9 @@
 			w.maxRunning = max(w.maxRunning, len(w.inFlight)-w.unstarted)
 			continue
 		}
-		w.unstarted++
-		t.unstarted++
-		at, _ := slices.BinarySearchFunc(s.unstarted, p.postedAt,
-			func(q *posting, x float64) int { return cmp.Compare(q.postedAt, x) })
-		s.unstarted = slices.Insert(s.unstarted, at, p)
+		s.addUnstarted(p)
 	}
 	if t.inFlight == 0 {
 		s.enqueue(t)
-	} else if s.manySchedulers() {
-		s.unstartedByArrival.add(t.arrivedAt, t)
 	}
 }
--- a/balance/index.go
+++ b/balance/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"hash/crc32"
 	"math"
 	"slices"
@@ -220,50 +221,89 @@
 	}
 }
 
-// txnHeap is a heap of txns by a time. A txn may be in it more than once, and may stay in it after its entry has
-// become obsolete: the caller checks when it takes out an entry.
-type txnHeap []heapEntry
+// txnIndexNumber names one of the scheduler's indexes of txns by time.
+type txnIndexNumber int
 
-type heapEntry struct {
-	at  float64
-	txn *txn
+const (
+	byGiveUpTime       txnIndexNumber = iota // queued txns, by when they are given up without overload
+	byOverloadGiveUp                         // the same with overload
+	queuedByArrival                          // queued txns with nothing in flight, by arrival time
+	unstartedByArrival                       // txns of the unstarted postings, by arrival time
+	numTxnIndexes
+)
+
+// giveUpIndex returns the index of give-up times that holds with or without overload.
+func giveUpIndex(overloaded bool) txnIndexNumber {
+	if overloaded {
+		return byOverloadGiveUp
+	}
+	return byGiveUpTime
+}
+
+// indexPlace is a txn's place in one txnIndex.
+type indexPlace struct {
+	at       float64 // the time that it is ordered by
+	position int     // in txnIndex.txns, from 1; 0 where the txn is not in the index
 }
 
-func (h *txnHeap) add(at float64, t *txn) {
-	*h = append(*h, heapEntry{at, t})
-	a := *h
-	for i := len(a) - 1; i > 0 && a[i].at < a[(i-1)/2].at; i = (i - 1) / 2 {
-		a[i], a[(i-1)/2] = a[(i-1)/2], a[i]
+// txnIndex orders txns by a time, earliest first. A txn is in it once at most, and only until it is removed: an entry that
+// stayed behind would keep its txn, with its postings, in memory.
+type txnIndex struct {
+	number txnIndexNumber
+	txns   []*txn // a heap, see container/heap
+}
+
+// set adds a txn, or moves it if it is in the index already.
+func (x *txnIndex) set(at float64, t *txn) {
+	place := &t.places[x.number]
+	place.at = at
+	if place.position > 0 {
+		heap.Fix(x, place.position-1)
+		return
 	}
+	heap.Push(x, t)
 }
 
-func (h *txnHeap) pop() *txn {
-	a := *h
-	t, end := a[0].txn, len(a)-1
-	a[0], a[end] = a[end], heapEntry{}
-	a = a[:end]
-	*h = a
-	for i := 0; ; {
-		least := i
-		for c := 2*i + 1; c <= 2*i+2 && c < end; c++ {
-			if a[c].at < a[least].at {
-				least = c
-			}
-		}
-		if least == i {
-			return t
-		}
-		a[i], a[least] = a[least], a[i]
-		i = least
+// remove removes a txn, if it is in the index.
+func (x *txnIndex) remove(t *txn) {
+	if position := t.places[x.number].position; position > 0 {
+		heap.Remove(x, position-1)
 	}
 }
 
-// earliest returns the earliest time, +Inf if the heap is empty.
-func (h txnHeap) earliest() float64 {
-	if len(h) == 0 {
+// earliest returns the earliest time, +Inf if the index is empty.
+func (x *txnIndex) earliest() float64 {
+	if len(x.txns) == 0 {
 		return math.Inf(1)
 	}
-	return h[0].at
+	return x.txns[0].places[x.number].at
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (x *txnIndex) Len() int { return len(x.txns) }
+
+func (x *txnIndex) Less(i, j int) bool {
+	return x.txns[i].places[x.number].at < x.txns[j].places[x.number].at
+}
+
+func (x *txnIndex) Swap(i, j int) {
+	x.txns[i], x.txns[j] = x.txns[j], x.txns[i]
+	x.txns[i].places[x.number].position, x.txns[j].places[x.number].position = i+1, j+1
+}
+
+func (x *txnIndex) Push(added any) {
+	t := added.(*txn)
+	x.txns = append(x.txns, t)
+	t.places[x.number].position = len(x.txns)
+}
+
+func (x *txnIndex) Pop() any {
+	last := len(x.txns) - 1
+	t := x.txns[last]
+	x.txns[last] = nil
+	x.txns = x.txns[:last]
+	t.places[x.number].position = 0
+	return t
 }
 
 // nextRandom returns the next random number.
--- /dev/null
+++ b/balance/memory_test.go
@@ -0,0 +1,160 @@
+package balance
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+// footprint counts what can be reached from a scheduler: what the garbage collector must keep for it.
+type footprint struct {
+	txns, postings, workers int
+	bytes                   uintptr // of all memory, as far as it is found through pointers, slices, maps and strings
+}
+
+// footprintOf walks over all that a scheduler holds.
+func footprintOf(s *Scheduler) footprint {
+	var f footprint
+	f.add(reflect.ValueOf(s), map[uintptr]bool{})
+	return f
+}
+
+// add counts what a value refers to, each object once. The value itself is counted by the object that holds it.
+func (f *footprint) add(v reflect.Value, seen map[uintptr]bool) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() || seen[v.Pointer()] {
+			return
+		}
+		seen[v.Pointer()] = true
+		switch v.Type() {
+		case reflect.TypeFor[*txn]():
+			f.txns++
+		case reflect.TypeFor[*posting]():
+			f.postings++
+		case reflect.TypeFor[*worker]():
+			f.workers++
+		}
+		f.bytes += v.Type().Elem().Size()
+		f.add(v.Elem(), seen)
+	case reflect.Interface:
+		f.add(v.Elem(), seen)
+	case reflect.String:
+		f.bytes += uintptr(v.Len())
+	case reflect.Slice:
+		f.bytes += uintptr(v.Cap()) * v.Type().Elem().Size()
+		for i := range v.Len() {
+			f.add(v.Index(i), seen)
+		}
+	case reflect.Map:
+		for entries := v.MapRange(); entries.Next(); {
+			f.bytes += v.Type().Key().Size() + v.Type().Elem().Size()
+			f.add(entries.Key(), seen)
+			f.add(entries.Value(), seen)
+		}
+	case reflect.Array:
+		for i := range v.Len() {
+			f.add(v.Index(i), seen)
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			f.add(v.Field(i), seen)
+		}
+	}
+}
+
+// checkSteadyFootprint runs rounds of a scheduler's work, and fails the test if after more rounds the scheduler holds more than
+// after the first ones. round may leave what is open at its end, as long as that is as much in each round.
+func checkSteadyFootprint(t *testing.T, s *Scheduler, round func(i int)) {
+	t.Helper()
+	const rounds = 2000
+	for i := range rounds {
+		round(i)
+	}
+	before := footprintOf(s)
+	for i := range 4 * rounds {
+		round(rounds + i)
+	}
+	after := footprintOf(s)
+	// Slices grow by doubling, and rings may be at any place of their turn.
+	if after.txns > before.txns+2 || after.postings > before.postings+2 || after.workers > before.workers+2 ||
+		after.bytes > 2*before.bytes+4<<10 {
+		t.Errorf("after %d rounds the scheduler holds %+v, after %d rounds %+v", rounds, before, 5*rounds, after)
+	}
+}
+
+// decideAll polls for decisions as a host does, and returns the postings that were made.
+func decideAll(s *Scheduler, now float64) (posts []Post) {
+	for decided := true; decided; {
+		_, final := s.NextFinal(now)
+		cancel, isCancel := s.NextCancel(now)
+		if isCancel {
+			s.Ended(now, cancel.Ref, cancel.Posting, Cancelled, false, NoLoad)
+		}
+		post, isPost := s.NextPosting(now)
+		if isPost {
+			posts = append(posts, post)
+		}
+		decided = final || isCancel || isPost
+	}
+	s.Wake(now)
+	return posts
+}
+
+// settleOne hands in a txn and settles its first posting.
+func settleOne(t *testing.T, s *Scheduler, now float64, ref string) {
+	t.Helper()
+	arrive(s, now, ref, 0, 4)
+	posts := decideAll(s, now)
+	if len(posts) != 1 || posts[0].Ref != ref {
+		t.Fatalf("at %g ms: postings %+v, want one of %s", now, posts, ref)
+	}
+	s.Started(now+1, ref, 0)
+	decideAll(s, now+1)
+	s.Ended(now+4, ref, 0, Done, true, NoLoad)
+	decideAll(s, now+4)
+}
+
+// Without a moment of overload, settled txns stayed in the index of give-up times under overload, until the process was over its
+// memory limit.
+func TestQuietSchedulerForgetsSettledTxns(t *testing.T) {
+	s := newTestScheduler(testTerms, 8)
+	checkSteadyFootprint(t, s, func(i int) { settleOne(t, s, float64(i)*10, fmt.Sprint(i)) })
+	if n := footprintOf(s).txns; n > 0 {
+		t.Errorf("%d settled txns are kept", n)
+	}
+}
+
+// While one txn waits in the queue, those that passed through it meanwhile stayed in the indexes behind it.
+func TestSettledTxnsAreForgottenWhileAnotherWaits(t *testing.T) {
+	terms := testTerms
+	terms.Schemes = append([]SchemeRow{{Zones: 1 << 5, SLA: 1e9, Expiry: 1e9, Gain: 1, LateGain: 0.2}}, testTerms.Schemes...)
+	s := newTestScheduler(terms, 8)
+	s.Arrived(0, Txn{Ref: "waits for a worker of its zone", Hint: 4, Slots: 1, TimeLeftMs: 1e9})
+	checkSteadyFootprint(t, s, func(i int) {
+		now, ref := float64(i)*10, fmt.Sprint(i)
+		s.Arrived(now, Txn{Ref: ref, Scheme: 1, Hint: 4, Slots: 1, TimeLeftMs: 20000})
+		decideAll(s, now)
+		s.Ended(now+4, ref, 0, Done, true, NoLoad)
+		decideAll(s, now+4)
+	})
+}
+
+// Under overload, txns whose postings had started stayed in the index of unstarted ones for as long as the overload lasted.
+func TestStartedTxnsAreForgottenUnderOverload(t *testing.T) {
+	terms := testTerms
+	terms.Schemes = append([]SchemeRow{{Zones: 1 << 5, SLA: 1e9, Expiry: 1e9, Gain: 1, LateGain: 0.2}}, testTerms.Schemes...)
+	s := newTestScheduler(terms, 8)
+	s.Arrived(-2000, Txn{Ref: "waits for a worker of its zone", Hint: 4, Slots: 1, TimeLeftMs: 1e9})
+	checkSteadyFootprint(t, s, func(i int) {
+		now, ref := float64(i)*10, fmt.Sprint(i)
+		if !s.overloaded(now) {
+			t.Fatal("the scheduler is not overloaded")
+		}
+		s.Arrived(now, Txn{Ref: ref, Scheme: 1, Hint: 4, Slots: 1, TimeLeftMs: 20000})
+		decideAll(s, now)
+		s.Started(now+1, ref, 0)
+		s.Ended(now+4, ref, 0, Done, true, NoLoad)
+		decideAll(s, now+4)
+	})
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -6,6 +6,7 @@
 	"hash/crc32"
 	"math"
 	"slices"
+	"sort"
 )
 
 // The inputs that only update state, and the helpers that keep the state in a form in which a decision need not
@@ -27,6 +28,15 @@
 	}
 }
 
+// addUnstarted adds a posting in flight to the unstarted ones.
+func (s *Scheduler) addUnstarted(p *posting) {
+	postedLater := func(i int) bool { return s.unstarted[i].postedAt > p.postedAt }
+	s.unstarted = slices.Insert(s.unstarted, sort.Search(len(s.unstarted), postedLater), p)
+	p.worker.unstarted++
+	p.txn.unstarted++
+	s.indexes[unstartedByArrival].set(p.txn.arrivedAt, p.txn)
+}
+
 // removeUnstarted removes a posting from the unstarted ones, if it is among them.
 func (s *Scheduler) removeUnstarted(p *posting) {
 	i, _ := slices.BinarySearchFunc(s.unstarted, p.postedAt,
@@ -35,7 +45,9 @@
 		if s.unstarted[i] == p {
 			s.unstarted = slices.Delete(s.unstarted, i, i+1)
 			p.worker.unstarted--
-			p.txn.unstarted--
+			if p.txn.unstarted--; p.txn.unstarted == 0 {
+				s.indexes[unstartedByArrival].remove(p.txn)
+			}
 			return
 		}
 	}
@@ -54,21 +66,32 @@
 func (s *Scheduler) enqueue(t *txn) {
 	s.queue.add(t)
 	for i, overloaded := range []bool{false, true} {
-		if t.giveUpAt[i] = s.computeGiveUpTime(t, overloaded); t.giveUpAt[i] < math.Inf(1) {
-			s.giveUpTimes[i].add(t.giveUpAt[i], t)
-		}
+		t.giveUpAt[i] = s.computeGiveUpTime(t, overloaded)
 	}
+	s.indexGiveUpTimes(t)
 	if t.inFlight == 0 {
-		s.queuedByArrival.add(t.arrivedAt, t)
+		s.indexes[queuedByArrival].set(t.arrivedAt, t)
 	}
 }
 
-// overloadIndex returns the index for overload in giveUpTimes and txn.giveUpAt.
-func overloadIndex(overloaded bool) int {
-	if overloaded {
-		return 1
+// indexGiveUpTimes puts a queued txn at its give-up times in their indexes. Times that change while it is queued are
+// not indexed, see nextGiveUpAt.
+func (s *Scheduler) indexGiveUpTimes(t *txn) {
+	for i, at := range t.giveUpAt {
+		if index := &s.indexes[i]; at < math.Inf(1) && !s.giveUpDependsOnQueues(t) {
+			index.set(at, t)
+		} else {
+			index.remove(t)
+		}
+	}
+}
+
+// dequeue removes a txn from the queue and from the indexes of queued txns.
+func (s *Scheduler) dequeue(t *txn) {
+	s.queue.remove(t)
+	for _, number := range []txnIndexNumber{byGiveUpTime, byOverloadGiveUp, queuedByArrival} {
+		s.indexes[number].remove(t)
 	}
-	return 0
 }
 
 // recordCost adds a hinted cost to the histogram, in place of the oldest one when it is full. Bin 40 begins at a
@@ -419,7 +442,7 @@
 		return
 	}
 	t.closed = true
-	s.queue.remove(t)
+	s.dequeue(t)
 	if t.inFlight > 0 {
 		s.cancelCandidates = append(s.cancelCandidates, t)
 	} else {
--- a/balance/types.go
+++ b/balance/types.go
@@ -300,6 +300,7 @@
 	unstarted                   int        // postings in flight that have not started
 	// when it is given up, without overload [0] and with it [1], as of when it was queued
 	giveUpAt [2]float64
+	places   [numTxnIndexes]indexPlace // its places in Scheduler.indexes
 }
 
 // schemeRow returns the scheme's row in the terms that the txn arrived under.
