Workers that left the list are not kept for the next ranking or for news of their end

What callers see: the memory of a scheduler without traffic grows with each worker that comes and goes, 1 KB each; so does that of any scheduler with workers that come and go between two news of the list. Cause: workers marked for the next ranking stay until it, and there is none without a txn; and a row that says 'removed' of a worker that was never known made one, which nothing deleted.

--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -172,3 +172,26 @@
 		decideAll(s, now+5)
 	})
 }
+
+// A scheduler without traffic kept each worker that had been in the list, as workers are only ranked for a txn.
+func TestIdleSchedulerForgetsWorkersThatLeftTheList(t *testing.T) {
+	s := newTestScheduler(testTerms, 8)
+	settleOne(t, s, 1, "first")
+	checkSteadyFootprint(t, s, func(i int) {
+		now, id := 10+float64(i)*10, fmt.Sprint("new", i)
+		s.ListChanged(now, false, []Listed{{ID: id, Weight: 1}})
+		decideAll(s, now)
+		s.ListChanged(now+5, false, []Listed{{ID: id, State: Removed}})
+		decideAll(s, now+5)
+	})
+}
+
+// A worker that came and went between two news of the list was kept for ever by the news that it is gone.
+func TestRemovalOfUnknownWorkerLeavesNothing(t *testing.T) {
+	s := newTestScheduler(testTerms, 8)
+	checkSteadyFootprint(t, s, func(i int) {
+		now := float64(i) * 10
+		s.ListChanged(now, false, []Listed{{ID: fmt.Sprint("gone", i), State: Removed}})
+		settleOne(t, s, now, fmt.Sprint(i))
+	})
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -20,6 +20,15 @@
 	}
 }
 
+// dropUnrankedDirty removes from the dirty workers those that left the list and are not ranked: the next ranking has
+// nothing to do for them, and without txns it may never come.
+func (s *Scheduler) dropUnrankedDirty() {
+	s.dirty = slices.DeleteFunc(s.dirty, func(w *worker) bool {
+		w.dirty = w.inList || w.ranked
+		return !w.dirty
+	})
+}
+
 // recordFull records that a worker was observed to be full.
 func (s *Scheduler) recordFull(now float64, w *worker) {
 	w.lastFullAt, w.inFlightWhenFull = now, w.knownInFlight()
@@ -159,6 +168,9 @@
 	for _, row := range rows {
 		effective := s.applyWithdrawal(row)
 		w := s.workersByID[effective.ID]
+		if w == nil && effective.State == Removed {
+			continue
+		}
 		if w == nil {
 			w = &worker{reportedFree: -1, lastFullAt: math.Inf(-1), concurrencyLimit: math.MaxInt}
 			s.workersByID[effective.ID] = w
@@ -189,6 +201,7 @@
 		}
 	}
 	s.list = slices.DeleteFunc(s.list, func(w *worker) bool { return !w.inList })
+	s.dropUnrankedDirty()
 	for _, w := range s.slowStartCandidates {
 		s.markDirty(w) // it may be out of slow start by now
 	}
