A handed-over txn leaves no worker behind that the list does not have

What callers see: after an upgrade, memory is kept for ever for each worker that had left the list and where a handed-over txn had an ended posting. Cause: the import registers such a worker, and only the end of a posting in flight, or a list that had it, deletes it. Evidence: TestHandedOverTxnLeavesNoWorkerBehind failed (2,008 workers after 2,000 txns, 10,008 after 10,000) and passes now: the worker is registered only while a posting is in flight there.

--- a/balance/handover.go
+++ b/balance/handover.go
@@ -68,7 +68,9 @@
 		if w == nil { // no longer in the list
 			w = &worker{Listed: Listed{ID: x.Worker, State: Removed}, reportedFree: -1,
 				lastFullAt: math.Inf(-1), concurrencyLimit: math.MaxInt}
-			s.workersByID[x.Worker] = w
+			if !x.Ended {
+				s.workersByID[x.Worker] = w // until the posting ends
+			}
 		}
 		p := &posting{txn: t, worker: w, number: i, postedAt: x.PostedAt, startedAt: x.StartedAt,
 			started: x.Started, ended: x.Ended, cancelled: x.Cancelled, mayHaveRun: x.MayHaveRun}
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -195,3 +195,17 @@
 		settleOne(t, s, now, fmt.Sprint(i))
 	})
 }
+
+// A worker of a handed-over txn's ended posting was kept for ever if the list no longer had it.
+func TestHandedOverTxnLeavesNoWorkerBehind(t *testing.T) {
+	s := newTestScheduler(testTerms, 8)
+	checkSteadyFootprint(t, s, func(i int) {
+		now, ref := float64(i)*10, fmt.Sprint(i)
+		s.ImportTxn(TxnState{Txn: Txn{Ref: ref, Hint: 4, Slots: 1}, Scheme: testTerms.Schemes[0], MaxPostings: 6,
+			ArrivedAt: now, SLAAt: now + 1000, ExpiresAt: now + 20000,
+			Postings: []PostingState{{Worker: fmt.Sprint("gone", i), PostedAt: now, Ended: true, MayHaveRun: true}}})
+		decideAll(s, now)
+		s.Ended(now+4, ref, 1, Done, true, NoLoad)
+		decideAll(s, now+4)
+	})
+}
