Withdrawals of workers that are back and gone are forgotten

What callers see: memory that grows with each worker that staff or the fleet ever took out, to the scheduler's end. Cause: the module kept each withdrawal for ever. Evidence: TestReturnedWorkersThatLeftAreForgotten failed (124,578 bytes after 2,000 workers, 564,546 after 10,000) and passes now: with each new withdrawal those are dropped that change nothing any more, of workers that were put back, left the list, and would be out of slow start.

--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -209,3 +209,17 @@
 		decideAll(s, now+4)
 	})
 }
+
+// A worker that operators put back into service was remembered for ever, also after it had left the list.
+func TestReturnedWorkersThatLeftAreForgotten(t *testing.T) {
+	s := newTestScheduler(testTerms, 8)
+	const intervalMs = 50000.0
+	checkSteadyFootprint(t, s, func(i int) {
+		now, id := float64(i)*intervalMs, fmt.Sprint("new", i)
+		s.ListChanged(now, false, []Listed{{ID: id, Weight: 1}})
+		s.Withdrawn(now+1, id)
+		s.Returned(now+2, id)
+		s.ListChanged(now+3, false, []Listed{{ID: id, State: Removed}})
+		settleOne(t, s, now+10, fmt.Sprint(i))
+	})
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"hash/crc32"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -240,6 +241,7 @@
 func (s *Scheduler) Withdrawn(now float64, id string) {
 	v := s.withdrawals[id]
 	if v == nil {
+		s.dropPastWithdrawals(now)
 		v = &withdrawal{}
 		s.withdrawals[id] = v
 	}
@@ -255,6 +257,16 @@
 	}
 }
 
+// dropPastWithdrawals forgets withdrawals that no longer change anything: those of workers that were returned, have
+// left the list, and would be out of slow start by now.
+func (s *Scheduler) dropPastWithdrawals(now float64) {
+	maps.DeleteFunc(s.withdrawals, func(id string, v *withdrawal) bool {
+		w := s.workersByID[id]
+		listed := w != nil && w.inList
+		return !v.withdrawn && !listed && now >= v.returnedAt+s.terms.SlowStartMs
+	})
+}
+
 // reapplyListing applies a worker's row of the list again after a change of its withdrawal.
 func (s *Scheduler) reapplyListing(now float64, id string) {
 	if w := s.workersByID[id]; w != nil && w.inList {
