Workers put back long ago leave room for others to be taken out of service

What callers see: after 4,096 different workers had been taken out and put back, each further call to take one out was answered 503 'no room for one more worker' until the scheduler's next start, and its memory held all of them. Cause: old records were dropped from the file alone, after each change; memory kept them, and put them back into the file before the next change was judged.

--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -106,6 +106,8 @@
 // updateRecords applies a change to the records and writes them whole, before any caller is answered that it is in
 // force. If change returns false nothing is written. It blocks for up to 20 ms while another process writes.
 func (h *handover) updateRecords(change func(stored *records) bool) error {
+	now := h.s.now()
+	dropOldRecords(h.s.ops.workerRecords, now)
 	if h.lockFile == nil {
 		change(&records{Workers: maps.Clone(h.s.ops.workerRecords)})
 		return nil
@@ -124,24 +126,17 @@
 	if err != nil { // torn, or of another program: it is replaced
 		file = &records{Workers: map[string]record{}}
 	}
-	now := h.s.now()
 	for id, own := range h.s.ops.workerRecords {
 		if file.Workers[id].changedAt() < own.changedAt() {
 			file.Workers[id] = own
 		}
 	}
+	dropOldRecords(file.Workers, now)
 	file.BootOffsetMs = h.s.clock.bootOffsetMs
 	file.Shalebeam, file.Start, file.Fences = recordsFormat, h.s.ops.fleet.start, h.mergeFences(file.Fences)
 	if !change(file) {
 		return nil
 	}
-	// A worker that was put back stays on record for recordRetentionMs. With a change number it stays longer, while there is
-	// room, so that an older call of the fleet can be told from a newer one.
-	for id, r := range file.Workers {
-		if r.PutBack > 0 && now > r.PutBack+recordRetentionMs && (r.Change == 0 || len(file.Workers) > maxRecords/2) {
-			delete(file.Workers, id)
-		}
-	}
 	raw, err := json.Marshal(file)
 	if err != nil {
 		return err
@@ -156,6 +151,16 @@
 	return nil
 }
 
+// dropOldRecords drops the records of workers that were put back longer than recordRetentionMs ago. One with a change
+// number stays longer, while there is room, so that an older call of the fleet can be told from a newer one.
+func dropOldRecords(workers map[string]record, now float64) {
+	for id, r := range workers {
+		if r.PutBack > 0 && now > r.PutBack+recordRetentionMs && (r.Change == 0 || len(workers) > maxRecords/2) {
+			delete(workers, id)
+		}
+	}
+}
+
 // shiftTimes moves all times by shiftMs milliseconds, from one process's clock to another's.
 func (rs *records) shiftTimes(shiftMs float64) {
 	for id, r := range rs.Workers {
