--- a/balance/balance.go
+++ b/balance/balance.go
@@ -111,6 +111,8 @@
 	unstarted []*posting
 	// the workers of the list, and others with postings in flight
 	workersByID map[string]*worker
+	// by worker ID, what workers that were forgotten within the slow-start window were sent while in slow start
+	formerSendLogs map[string]slowstart.SendLog
 	// operators' withdrawals of workers, present and past, by worker ID
 	withdrawals map[string]*withdrawal
 	// the workers that discovery's list names, in its order
@@ -185,7 +187,7 @@
 func New(terms Terms) *Scheduler {
 	s := &Scheduler{txns: map[string]*txn{}, workersByID: map[string]*worker{},
 		firstListAt: -1, leadingSince: math.Inf(-1), stopAt: math.Inf(1), listValidUntil: math.Inf(1),
-		withdrawals: map[string]*withdrawal{}, keyCounts: map[uint32]int{},
+		formerSendLogs: map[string]slowstart.SendLog{}, withdrawals: map[string]*withdrawal{}, keyCounts: map[uint32]int{},
 		capacityEstimates: map[workerSize]float64{}, warmSizes: map[int]float64{},
 		unplaceableCosts: map[*ranking]float64{}, maxWeights: map[int]float64{}, peerHeardAt: map[int]float64{},
 	}
@@ -345,7 +347,7 @@
 	w.inFlight = slices.DeleteFunc(w.inFlight, func(q *posting) bool { return q == p })
 	s.markDirty(w)
 	if !w.inList && len(w.inFlight) == 0 && s.workersByID[w.ID] == w {
-		delete(s.workersByID, w.ID)
+		s.forgetWorker(now, w)
 	}
 	t.inFlight--
 	s.recordLoad(w, load)
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/crc32"
-	"math"
 )
 
 // Handover of an open txn from one process of this scheduler to another, as in a hot restart: the old process
@@ -66,8 +65,7 @@
 	for i, x := range c.Postings {
 		w := s.workersByID[x.Worker]
 		if w == nil { // no longer in the list
-			w = &worker{Listed: Listed{ID: x.Worker, State: Removed}, reportedFree: -1,
-				lastFullAt: math.Inf(-1), concurrencyLimit: math.MaxInt}
+			w = s.newWorker(x.Worker)
 			if !x.Ended {
 				s.workersByID[x.Worker] = w // until the posting ends
 			}
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -223,3 +223,14 @@
 		settleOne(t, s, now+10, fmt.Sprint(i))
 	})
 }
+
+// Workers that leave the list while in slow start are remembered for one window, and no longer.
+func TestSendLogsOfFormerWorkersAreForgotten(t *testing.T) {
+	s := newTestScheduler(testTerms, 0)
+	checkSteadyFootprint(t, s, func(i int) {
+		now, id := 10000+float64(i)*100, fmt.Sprint("new", i)
+		s.ListChanged(now, false, []Listed{{ID: id, Weight: 1, Start: now}})
+		settleOne(t, s, now+10, fmt.Sprint(i))
+		s.ListChanged(now+50, false, []Listed{{ID: id, State: Removed}})
+	})
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"sort"
+
+	"shalebeam/balance/slowstart"
 )
 
 // The inputs that only update state, and the helpers that keep the state in a form in which a decision need not
@@ -173,7 +175,7 @@
 			continue
 		}
 		if w == nil {
-			w = &worker{reportedFree: -1, lastFullAt: math.Inf(-1), concurrencyLimit: math.MaxInt}
+			w = s.newWorker(effective.ID)
 			s.workersByID[effective.ID] = w
 		}
 		if w.Start != effective.Start {
@@ -197,12 +199,13 @@
 		if !w.inList {
 			s.markDirty(w)
 			if len(w.inFlight) == 0 {
-				delete(s.workersByID, w.ID)
+				s.forgetWorker(now, w)
 			}
 		}
 	}
 	s.list = slices.DeleteFunc(s.list, func(w *worker) bool { return !w.inList })
 	s.dropUnrankedDirty()
+	maps.DeleteFunc(s.formerSendLogs, func(_ string, log slowstart.SendLog) bool { return !s.sentInWindow(now, log) })
 	for _, w := range s.slowStartCandidates {
 		s.markDirty(w) // it may be out of slow start by now
 	}
@@ -231,6 +234,27 @@
 	}
 }
 
+// newWorker returns the state of a worker of which nothing is known but what it was sent while in slow start, if it was
+// forgotten within the window.
+func (s *Scheduler) newWorker(id string) *worker {
+	return &worker{Listed: Listed{ID: id, State: Removed}, reportedFree: -1, lastFullAt: math.Inf(-1),
+		concurrencyLimit: math.MaxInt, slowStartLog: s.formerSendLogs[id]}
+}
+
+// forgetWorker forgets a worker that is not in the list and has nothing in flight. It may come back in slow start, and
+// what it was sent still counts then.
+func (s *Scheduler) forgetWorker(now float64, w *worker) {
+	delete(s.workersByID, w.ID)
+	if s.sentInWindow(now, w.slowStartLog) {
+		s.formerSendLogs[w.ID] = w.slowStartLog
+	}
+}
+
+// sentInWindow reports whether a log has requests of the slow-start window that ends now.
+func (s *Scheduler) sentInWindow(now float64, log slowstart.SendLog) bool {
+	return log.Within(now, s.terms.SlowStartWindowMs).Requests > 0
+}
+
 // SetListValidUntil sets until when, in ms, the list may be relied on. After that a worker that the list shows as
 // running may be draining, so nothing is posted until a later time is set. A caller that never calls it guarantees
 // that its list is always valid.
