A repeat keeps to the group in which the txn may have run, whatever the list says of that worker later

What callers saw: a referenced txn that may have run at a worker is posted outside of that worker's group, and has its effect twice, once news says that the worker is in another zone or cell, or no longer says where it is: a removed entry without its fields, an entry that can't be read (cell 0, by default). Cause: the rule compared with what the list says of the worker now, not with where the worker was when it was posted to. Two workers whose zones the settings don't name were also taken for one zone. Evidence: TestNewsOfWorkerDoesNotChangeGroupOfEarlierPosting failed in 8 of 8 cases (zone and cell; moved, restarted elsewhere, removed, malformed) and passes now: a posting keeps the place of its worker, and a place that is not known is in nobody's group.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -877,8 +877,7 @@
 		if p.ended && !p.mayHaveRun || row.Effect == Repeatable {
 			continue
 		}
-		if row.Effect == OnceOnly || now-p.postedAt >= row.Window ||
-			row.Group == GroupZone && w.Zone != p.worker.Zone || row.Group == GroupCell && w.Cell != p.worker.Cell {
+		if row.Effect == OnceOnly || now-p.postedAt >= row.Window || !row.Group.covers(p.place, w.place()) {
 			return false
 		}
 	}
@@ -1084,7 +1083,7 @@
 	if s.inSlowStart(now, bestWorker) {
 		bestWorker.slowStartLog.Add(now, s.terms.SlowStartWindowMs, s.slowStartCost(bestTxn))
 	}
-	p := &posting{txn: bestTxn, worker: bestWorker, number: len(bestTxn.postings), postedAt: now}
+	p := &posting{txn: bestTxn, worker: bestWorker, place: bestWorker.place(), number: len(bestTxn.postings), postedAt: now}
 	if bestTxn.postings = append(bestTxn.postings, p); p.number > 0 {
 		s.extraPostings = append(s.extraPostings, now)
 	}
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -70,7 +70,7 @@
 				s.workersByID[x.Worker] = w // until the posting ends
 			}
 		}
-		p := &posting{txn: t, worker: w, number: i, postedAt: x.PostedAt, startedAt: x.StartedAt,
+		p := &posting{txn: t, worker: w, place: w.place(), number: i, postedAt: x.PostedAt, startedAt: x.StartedAt,
 			started: x.Started, ended: x.Ended, cancelled: x.Cancelled, mayHaveRun: x.MayHaveRun}
 		t.postings = append(t.postings, p)
 		t.mayHaveRun = t.mayHaveRun || p.mayHaveRun
--- a/balance/types.go
+++ b/balance/types.go
@@ -27,6 +27,24 @@
 	GroupCell                   // those in the same cell
 )
 
+// covers reports whether a group that has a worker at one place has a worker at the other place too. Where a place is
+// not known it does not.
+func (g DedupGroup) covers(a, b Place) bool {
+	switch g {
+	case GroupZone:
+		return a.Zone == b.Zone && a.Zone > UnknownPlace
+	case GroupCell:
+		return a.Cell == b.Cell && a.Cell > UnknownPlace
+	}
+	return true
+}
+
+// UnknownPlace is the number of a zone or cell that is not known.
+const UnknownPlace = -1
+
+// Place says where a worker is: the numbers of its zone and cell.
+type Place struct{ Zone, Cell int }
+
 // SchemeRow is one scheme's row of the settings, as far as this package needs it. It is part of TxnState, the
 // JSON form of which other builds read: the names in its tags must not change.
 type SchemeRow struct {
@@ -107,7 +125,7 @@
 // Listed is one worker as the list shows it.
 type Listed struct {
 	ID     string
-	Cell   int // its group of workers, see GroupCell
+	Cell   int // its group of workers, see GroupCell; may be UnknownPlace, as may Zone
 	Zone   int
 	Kind   int
 	State  State
@@ -115,6 +133,9 @@
 	Weight float64 // size or, with Terms.WeightShowsLoad, size lowered by load
 }
 
+// place returns where the list shows the worker.
+func (l *Listed) place() Place { return Place{l.Zone, l.Cell} }
+
 // Outcome says how a posting or a probe ended.
 type Outcome int
 
@@ -274,7 +295,8 @@
 type posting struct {
 	txn                       *txn
 	worker                    *worker
-	number                    int // place among its txn's postings, from 0
+	place                     Place // of its worker when it was made: what the list says of the worker may change
+	number                    int   // its index in its txn's postings
 	postedAt, startedAt       float64
 	started, ended, cancelled bool // cancelled: a cancel was issued, the outcome may still come
 	countedLost               bool // it was counted as a failure, as its worker seemed to have lost it
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -377,7 +377,7 @@
 // decodeMember decodes and checks one member. Where it fails it still returns the host, if there is one.
 func (r *roster) decodeMember(raw json.RawMessage) (m member, err error) {
 	if err = json.Unmarshal(raw, &m); err != nil {
-		m = member{}
+		m = member{Block: balance.UnknownPlace} // its zone has no name, and so is not known either
 		var hostOnly struct{ Host string }
 		_ = json.Unmarshal(raw, &hostOnly) // where this fails too, the host stays empty
 		m.Host = hostOnly.Host
