A handed-over txn says where its postings went, and is repeated in that group alone

Cause: the state that passes to the new process names the worker of each posting but not its zone and cell. The new process looked them up in its list. A worker that had left the list got zone 0 and cell 0, the first of the settings, and so the txn went there.

Fix: the state has the place of each posting. The state of an older build has none: there the list is asked, and where the worker has left it, its place is not known and the txn is not repeated at all until its time is up, which answers 502 (it may have run).

TestHandedOverTxnOfOlderBuildIsRepeatedInGroupOfListedWorker and TestTransferMessageHasPlaceOfPosting are new; the old form of the message is read and written as before (TestTransferMessageFormat, unchanged).

--- a/balance/group_test.go
+++ b/balance/group_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 )
@@ -28,6 +29,89 @@
 var northAndWest = []Listed{{ID: "north", Zone: 0, Cell: 0, Weight: 1}, {ID: "west", Zone: 2, Cell: 2, Weight: 1},
 	{ID: "nowhere", Zone: -1, Cell: -1, Weight: 1}}
 
+// withoutPlaces returns the JSON form of a state as a build wrote it that knows no places of postings.
+func withoutPlaces(t *testing.T, raw []byte) []byte {
+	t.Helper()
+	var state map[string]any
+	if err := json.Unmarshal(raw, &state); err != nil {
+		t.Fatal(err)
+	}
+	for _, posting := range state["Posts"].([]any) {
+		delete(posting.(map[string]any), "Place")
+	}
+	raw, err := json.Marshal(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// handOverJSON passes the txn "x" to another scheduler in its JSON form, changed by edit.
+func handOverJSON(t *testing.T, from, to *Scheduler, edit func([]byte) []byte) {
+	t.Helper()
+	state, ok := from.ExportTxn("x")
+	if !ok {
+		t.Fatal("the txn is not open")
+	}
+	raw, err := json.Marshal(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received TxnState
+	if err := json.Unmarshal(edit(raw), &received); err != nil {
+		t.Fatal(err)
+	}
+	to.ImportTxn(received)
+}
+
+// After an upgrade a referenced txn that may have run was posted outside of its group, where the new process's list did not have
+// the worker where it may have run.
+func TestHandedOverTxnStaysInGroupOfWorkerThatLeftTheList(t *testing.T) {
+	unchanged := func(raw []byte) []byte { return raw }
+	old := func(raw []byte) []byte { return withoutPlaces(t, raw) }
+	for _, group := range []DedupGroup{GroupZone, GroupCell} {
+		for name, edits := range map[string][]func([]byte) []byte{"from this build": {unchanged}, "from an older build": {old},
+			"from this build through another process":     {unchanged, unchanged},
+			"from an older build through another process": {old, unchanged}} {
+			t.Run(fmt.Sprint("group ", group, " ", name), func(t *testing.T) {
+				s := New(groupTerms(group))
+				failAtSouth(t, s, 1000)
+				for _, edit := range edits {
+					next := New(groupTerms(group))
+					next.ListChanged(1100, true, northAndWest)
+					handOverJSON(t, s, next, edit)
+					s = next
+				}
+				if p, ok := s.NextPosting(1200); ok {
+					t.Fatalf("it may have run in zone 1 and cell 1, and was posted to %s", p.Worker)
+				}
+				s.ListChanged(1300, false, []Listed{{ID: "south2", Zone: 1, Cell: 1, Weight: 1}})
+				known := name != "from an older build" && name != "from an older build through another process"
+				if p, ok := s.NextPosting(1400); ok != known || ok && p.Worker != "south2" {
+					t.Errorf("with a worker of its group: posting %+v %v, want %v", p, ok, known)
+				}
+			})
+		}
+	}
+}
+
+// Where the list has the worker, the state of an older build is enough to repeat a txn in its group, and nowhere else.
+func TestHandedOverTxnOfOlderBuildIsRepeatedInGroupOfListedWorker(t *testing.T) {
+	for _, group := range []DedupGroup{GroupZone, GroupCell} {
+		s, next := New(groupTerms(group)), New(groupTerms(group))
+		failAtSouth(t, s, 1000)
+		next.ListChanged(1100, true, append([]Listed{{ID: "south", Zone: 1, Cell: 1, State: Draining, Weight: 1}}, northAndWest...))
+		handOverJSON(t, s, next, func(raw []byte) []byte { return withoutPlaces(t, raw) })
+		if p, ok := next.NextPosting(1200); ok {
+			t.Fatalf("group %d: posted to %s", group, p.Worker)
+		}
+		next.ListChanged(1300, false, []Listed{{ID: "south2", Zone: 1, Cell: 1, Weight: 1}})
+		if p, ok := next.NextPosting(1400); !ok || p.Worker != "south2" {
+			t.Errorf("group %d: with a worker of its group: posting %+v %v", group, p, ok)
+		}
+	}
+}
+
 // News of the worker where a referenced txn may have run changed the group in which the txn was repeated: the worker moved, or
 // its row no longer said where it was.
 func TestNewsOfWorkerDoesNotChangeGroupOfEarlierPosting(t *testing.T) {
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -31,6 +31,9 @@
 	Ended      bool    `json:"Done"`  // it ended
 	Cancelled  bool    `json:"Off"`   // it was cancelled
 	MayHaveRun bool    `json:"Ran"`   // it ended and may have run
+	// Place is where its worker was when it was posted, as the process that takes over may not have that worker in its
+	// list. Nil in the state that an older build exports.
+	Place *Place `json:"Place,omitempty"`
 }
 
 // ExportTxn returns the state of an open txn for the handover; ok is false where the txn is not open.
@@ -42,8 +45,9 @@
 	c = TxnState{t.Txn, *t.schemeRow(), t.terms.MaxPostings, t.terms.Hedging,
 		t.arrivedAt, t.slaAt, t.expiresAt, t.overQuota, nil}
 	for _, p := range t.postings {
+		place := p.place
 		c.Postings = append(c.Postings, PostingState{p.worker.ID, p.postedAt, p.startedAt,
-			p.started, p.ended, p.cancelled, p.mayHaveRun})
+			p.started, p.ended, p.cancelled, p.mayHaveRun, &place})
 	}
 	return c, true
 }
@@ -70,7 +74,7 @@
 				s.workersByID[x.Worker] = w // until the posting ends
 			}
 		}
-		p := &posting{txn: t, worker: w, place: w.place(), number: i, postedAt: x.PostedAt, startedAt: x.StartedAt,
+		p := &posting{txn: t, worker: w, place: x.placeAt(w), number: i, postedAt: x.PostedAt, startedAt: x.StartedAt,
 			started: x.Started, ended: x.Ended, cancelled: x.Cancelled, mayHaveRun: x.MayHaveRun}
 		t.postings = append(t.postings, p)
 		t.mayHaveRun = t.mayHaveRun || p.mayHaveRun
@@ -90,3 +94,15 @@
 		s.enqueue(t)
 	}
 }
+
+// placeAt returns where the posting's worker was when it was posted. Where the state does not say, the list does, as long
+// as it has the worker.
+func (x *PostingState) placeAt(w *worker) Place {
+	switch {
+	case x.Place != nil:
+		return *x.Place
+	case w.inList:
+		return w.place()
+	}
+	return unknownPlace
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -42,8 +42,15 @@
 // UnknownPlace is the number of a zone or cell that is not known.
 const UnknownPlace = -1
 
-// Place says where a worker is: the numbers of its zone and cell.
-type Place struct{ Zone, Cell int }
+// Place says where a worker is: the numbers of its zone and cell. It is part of TxnState, the JSON form of which other
+// builds read: the names in its tags must not change.
+type Place struct {
+	Zone int `json:"Zone"`
+	Cell int `json:"Cell"`
+}
+
+// unknownPlace is the place of a worker of which nothing is known.
+var unknownPlace = Place{UnknownPlace, UnknownPlace}
 
 // SchemeRow is one scheme's row of the settings, as far as this package needs it. It is part of TxnState, the
 // JSON form of which other builds read: the names in its tags must not change.
--- a/cmd/shalebeam/upgrade_test.go
+++ b/cmd/shalebeam/upgrade_test.go
@@ -28,6 +28,7 @@
 	addr      string
 	tmpDir    string
 	knownList []byte
+	settings  json.RawMessage // of processes started from now on; nil: settingsJSON
 	log       lockedBuffer
 	starts    int
 
@@ -135,8 +136,12 @@
 	h.t.Helper()
 	h.starts++
 	p := &schedulerProcess{mgmt: freeAddress(h.t), exit: make(chan error, 1)}
-	path := h.testbed.writeConfig(h.knownList, map[string]any{"listen": h.addr, "mgmt": p.mgmt, "peer_listen": "",
-		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}})
+	more := map[string]any{"listen": h.addr, "mgmt": p.mgmt, "peer_listen": "",
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}}
+	if h.settings != nil {
+		more["settings"] = h.settings
+	}
+	path := h.testbed.writeConfig(h.knownList, more)
 	p.cmd = program("serve")
 	p.cmd.Env = append(p.cmd.Env, "BALANCER_CONFIG="+path, "TMPDIR="+h.tmpDir)
 	p.cmd.Stderr = &h.log
--- a/scheduler/transfer_test.go
+++ b/scheduler/transfer_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -111,3 +112,20 @@
 		}
 	}
 }
+
+// Where a posting's worker was goes with its txn, under names that must not change.
+func TestTransferMessageHasPlaceOfPosting(t *testing.T) {
+	const text = `"Posts":[{"Worker":"w1","At":910,"Start":920,"Begun":true,"Done":true,"Off":false,"Ran":true,"Place":{"Zone":1,"Cell":7}}]`
+	var state balance.TxnState
+	if err := json.Unmarshal([]byte("{"+text+"}"), &state); err != nil {
+		t.Fatal(err)
+	}
+	want := []balance.PostingState{{Worker: "w1", PostedAt: 910, StartedAt: 920, Started: true, Ended: true, MayHaveRun: true,
+		Place: &balance.Place{Zone: 1, Cell: 7}}}
+	if !reflect.DeepEqual(state.Postings, want) {
+		t.Errorf("read %+v, want %+v", state.Postings, want)
+	}
+	if raw, err := json.Marshal(state); err != nil || !strings.Contains(string(raw), text) {
+		t.Errorf("wrote %s, %v, want it to have %s", raw, err, text)
+	}
+}
