A handed-over txn keeps to zones and kinds by name where the new process numbers them otherwise

What callers saw: an upgrade to settings that list the zones (or kinds) in another order, which docs/operating.md asks for where schemes are bound to them, posts a referenced txn outside of its zone, and one of a bound scheme to a worker that it is not open to. Cause: the state that passes has zones and kinds as indexes into the sender's settings, and was read by the receiver's. Fix: the message names the sender's zones and kinds, and the receiver gives the state its own numbers. A zone that its settings don't have is not known; a scheme that is left with none gets no further posting, and is declined or reversed at once. Evidence: TestUpgradeKeepsReferencedTxnInItsZone/with_its_zones_in_another_order (real processes) failed with one posting to the other zone and passes now; TestHandedOverTxnIsRenumbered and TestHandedOverTxnOfUnknownZoneIsGivenUp. What an older build sends has no names: then the numbers are taken as they are, as before.

--- a/balance/group_test.go
+++ b/balance/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"testing"
 )
 
@@ -137,3 +138,44 @@
 		}
 	}
 }
+
+// A handed-over txn's zones and kinds are numbers of the settings of the process it comes from. Where the new process has other
+// numbers, it keeps to the workers of the same names.
+func TestHandedOverTxnIsRenumbered(t *testing.T) {
+	place := func(zone int) *Place { return &Place{Zone: zone, Cell: 4} }
+	for name, test := range map[string]struct {
+		given, want TxnState
+	}{
+		"in another order": {
+			TxnState{Scheme: SchemeRow{Zones: 1 | 1<<2, Kinds: 1 << 1}, MaxPostings: 6, Postings: []PostingState{{Place: place(0)}, {}}},
+			TxnState{Scheme: SchemeRow{Zones: 1<<2 | 1<<1, Kinds: 1}, MaxPostings: 6, Postings: []PostingState{{Place: place(2)}, {}}}},
+		"not bound": {TxnState{MaxPostings: 6}, TxnState{MaxPostings: 6}},
+		"one zone is gone": {
+			TxnState{Scheme: SchemeRow{Zones: 1 | 1<<3}, MaxPostings: 6, Postings: []PostingState{{Place: place(3)}}},
+			TxnState{Scheme: SchemeRow{Zones: 1 << 2}, MaxPostings: 6, Postings: []PostingState{{Place: place(UnknownPlace)}}}},
+		"its only zone is gone": {TxnState{Scheme: SchemeRow{Zones: 1 << 3}, MaxPostings: 6}, TxnState{}},
+		"its only kind is gone": {TxnState{Scheme: SchemeRow{Kinds: 1 << 2}, MaxPostings: 6}, TxnState{}},
+		"a number without a name": {
+			TxnState{MaxPostings: 6, Postings: []PostingState{{Place: place(7)}}},
+			TxnState{MaxPostings: 6, Postings: []PostingState{{Place: place(UnknownPlace)}}}},
+	} {
+		if test.given.Renumber([]int{2, 0, 1, UnknownPlace}, []int{1, 0, UnknownPlace}); !reflect.DeepEqual(test.given, test.want) {
+			t.Errorf("%s: %+v, want %+v", name, test.given, test.want)
+		}
+	}
+}
+
+// A txn whose scheme is bound to a zone that the new process's settings don't have is posted nowhere, and is given up.
+func TestHandedOverTxnOfUnknownZoneIsGivenUp(t *testing.T) {
+	s := newTestScheduler(testTerms, 4)
+	state := TxnState{Txn: Txn{Ref: "x", Hint: 100, Slots: 1}, Scheme: SchemeRow{SLA: 1000, Expiry: 20000, Gain: 1, Zones: 1 << 1},
+		MaxPostings: 6, ArrivedAt: 100, SLAAt: 1100, ExpiresAt: 20100}
+	state.Renumber([]int{0, UnknownPlace}, nil)
+	s.ImportTxn(state)
+	if p, ok := s.NextPosting(200); ok {
+		t.Errorf("posted to %s", p.Worker)
+	}
+	if f, ok := s.NextFinal(200); !ok || !f.Declined {
+		t.Errorf("final answer %+v %v, want a decline: it never ran", f, ok)
+	}
+}
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -106,3 +106,43 @@
 	}
 	return unknownPlace
 }
+
+// Renumber replaces the numbers of zones and kinds, which are indexes into the exporting process's settings. zones and kinds
+// have the importing process's number for each of these, UnknownPlace where its settings don't have the name. A txn whose
+// scheme is bound to none that they have is posted to no further worker.
+func (c *TxnState) Renumber(zones, kinds []int) {
+	for i := range c.Postings {
+		if place := c.Postings[i].Place; place != nil {
+			place.Zone = renumbered(place.Zone, zones)
+		}
+	}
+	var anyZone, anyKind bool
+	if c.Scheme.Zones, anyZone = renumberedBits(c.Scheme.Zones, zones); !anyZone {
+		c.MaxPostings = 0
+	}
+	if c.Scheme.Kinds, anyKind = renumberedBits(c.Scheme.Kinds, kinds); !anyKind {
+		c.MaxPostings = 0
+	}
+}
+
+// renumbered returns the new number of a zone or kind.
+func renumbered(number int, newNumbers []int) int {
+	if number < 0 || number >= len(newNumbers) {
+		return UnknownPlace
+	}
+	return newNumbers[number]
+}
+
+// renumberedBits returns a set of zones or kinds, as in SchemeRow, with the new numbers. ok is false if the set was bound to some
+// and none of these has a new number.
+func renumberedBits(bits uint64, newNumbers []int) (result uint64, ok bool) {
+	for number := range 64 {
+		if bits>>number&1 == 0 {
+			continue
+		}
+		if n := renumbered(number, newNumbers); n != UnknownPlace {
+			result |= 1 << min(n, 63)
+		}
+	}
+	return result, result != 0 || bits == 0
+}
--- a/cmd/shalebeam/upgrade_group_test.go
+++ b/cmd/shalebeam/upgrade_group_test.go
@@ -41,7 +41,8 @@
 // upgrade, as the worker was not in the new process's list.
 func TestUpgradeKeepsReferencedTxnInItsZone(t *testing.T) {
 	t.Parallel()
-	for name, newZones := range map[string]string{"with the same settings": `["north","south"]`} {
+	for name, newZones := range map[string]string{"with the same settings": `["north","south"]`,
+		"with its zones in another order": `["south","north"]`} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := newUpgradeTestbed(t)
--- a/scheduler/transfer.go
+++ b/scheduler/transfer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -51,8 +52,14 @@
 	Body               []byte
 	Until              float64 // when the client's time is over
 	Posts              []transferredPosting
+	// Names are those of the sender's zones and kinds, which State has by number. Nil if an older build sent the message.
+	Names *placeNames `json:",omitempty"`
 }
 
+// placeNames are the names of a process's zones and kinds, by their numbers: they are indexes into the settings' lists, which
+// another process may have in another order.
+type placeNames struct{ Zones, Kinds []string }
+
 // transferredPosting is a posting whose request was sent to a worker and that has not ended.
 type transferredPosting struct {
 	Number   int `json:"No"` // index among all postings of the txn
@@ -120,7 +127,7 @@
 		}
 		request := &t.request
 		message.Txn = &transferredTxn{state, request.method, request.path, request.host, request.idempotencyKey, request.contentType,
-			request.body, t.deadline, nil}
+			request.body, t.deadline, nil, h.s.placeNames()}
 		for _, p := range t.postings {
 			conn := p.conn
 			if conn == nil {
@@ -356,6 +363,28 @@
 	}
 }
 
+// placeNames returns the names of this process's zones and kinds.
+func (s *Scheduler) placeNames() *placeNames {
+	return &placeNames{s.node.decoded.Zones, s.node.decoded.Kinds}
+}
+
+// numbersIn returns for each of names its index in own, or balance.UnknownPlace.
+func numbersIn(own, names []string) []int {
+	numbers := make([]int, len(names))
+	for i, name := range names {
+		numbers[i] = indexOf(own, name)
+	}
+	return numbers
+}
+
+// renumberPlaces gives a txn's state this process's numbers of zones and kinds, where the sender's lists are others.
+func (t *transferredTxn) renumberPlaces(own *placeNames) {
+	if t.Names == nil || slices.Equal(t.Names.Zones, own.Zones) && slices.Equal(t.Names.Kinds, own.Kinds) {
+		return
+	}
+	t.State.Renumber(numbersIn(own.Zones, t.Names.Zones), numbersIn(own.Kinds, t.Names.Kinds))
+}
+
 // resumeTxn restores a txn of the draining process. It returns a worker connection for each posting of the message, which the
 // caller has still to add to the event loop, or nil where the connection is to be closed as nothing waits for its response.
 func (d *driver) resumeTxn(c *client, message transferMessage) []*workerConn {
@@ -369,6 +398,7 @@
 	if transitMs := now - message.Now; message.BootOffsetMs == 0 && (transitMs < 0 || transitMs > maxTransitMs) {
 		shiftMs = transitMs
 	}
+	sent.renumberPlaces(d.s.placeNames())
 	state := &sent.State
 	state.ArrivedAt, state.SLAAt, state.ExpiresAt = state.ArrivedAt+shiftMs, state.SLAAt+shiftMs, state.ExpiresAt+shiftMs
 	for i := range state.Postings {
