A worker out of service counts as busy while postings run there, whatever the list says of it

What callers saw: beamctl restart or maintain takes a worker for drained, and runs the site's command on it, while postings of a scheduler still run there: they are reset, and a once-only one is answered 502. It takes a discovery that shows the worker as draining, or drops it, before its last posting ends. Cause: a scheduler's status to the fleet went over the workers that the list shows as running, and asked only these for their postings. Evidence: TestBusyWorkerIsReportedWhateverTheListSays failed in 4 of 5 cases (draining, removed, left out, moved) and passes now: busy workers are those with postings in flight, in the zone where these were posted.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"shalebeam/balance"
 	"shalebeam/http1"
 )
 
@@ -98,8 +99,8 @@
 	Out    map[string]string `json:"out"` // workers that the fleet took out of service, with the matter of the owner that did
 	Phase  string            `json:"phase"`
 	Txns   txnCounts         `json:"txns"`
-	// Workers are those in service by discovery's list in the zone that was asked for: "warm", "cold", or "busy" for one that
-	// was taken out of service while postings of this scheduler still run there.
+	// Workers are those in service by discovery's list in the zone that was asked for, "warm" or "cold", and those out of service
+	// while postings of this scheduler still run there, "busy", whether or not the list has them.
 	Workers map[string]string `json:"workers,omitempty"`
 	Stale   bool              `json:"stale,omitempty"` // set by an agent that could not confirm that its record is current
 }
@@ -116,19 +117,7 @@
 	status := fleetStatus{Name: o.s.node.Name, Start: o.fleet.start, Fences: o.fleet.tokens, Out: map[string]string{},
 		Phase: o.s.phase.String(), Txns: o.s.driver.txnCounts}
 	if zone != "" {
-		status.Workers = map[string]string{}
-		zones := o.s.node.decoded.Zones
-		o.s.driver.module.EachRunningWorker(o.s.now(), func(id string, zoneIndex int, cold bool, ownPostings int) {
-			switch {
-			case zoneIndex < 0 || zoneIndex >= len(zones) || zones[zoneIndex] != zone:
-			case o.workerRecords[id].isOut() && ownPostings > 0:
-				status.Workers[id] = "busy"
-			case cold:
-				status.Workers[id] = "cold"
-			default:
-				status.Workers[id] = "warm"
-			}
-		})
+		status.Workers = o.workersOfZone(zone)
 	}
 	for id, r := range o.workerRecords {
 		if r.isOut() && r.Fleet != "" {
@@ -139,6 +128,30 @@
 	return string(raw) + "\n"
 }
 
+// workersOfZone returns what fleetStatus.Workers has of a zone.
+func (o *ops) workersOfZone(zone string) map[string]string {
+	workers := map[string]string{}
+	zoneNumber := indexOf(o.s.node.decoded.Zones, zone)
+	if zoneNumber < 0 {
+		return workers
+	}
+	o.s.driver.module.EachRunningWorker(o.s.now(), func(id string, number int, cold bool) {
+		switch {
+		case number != zoneNumber:
+		case cold:
+			workers[id] = "cold"
+		default:
+			workers[id] = "warm"
+		}
+	})
+	o.s.driver.module.EachBusyWorker(func(id string, number int) {
+		if o.workerRecords[id].isOut() && (number == zoneNumber || number == balance.UnknownPlace) {
+			workers[id] = "busy"
+		}
+	})
+	return workers
+}
+
 // recordToken records a new owner's fencing token and does nothing else: once it has succeeded, calls by former owners are
 // refused.
 func (o *ops) recordToken(call *fencedCall) (status int, body string) {
