An agent forgets the leases of operations that are closed

What operators see: an agent's memory grows with each operation (restart, release, ...), some hundred bytes each, to its end. Cause: an operation has a lease of its own, and the claimer kept what it had seen of each.

--- a/fleet/lease_claims.go
+++ b/fleet/lease_claims.go
@@ -109,7 +109,9 @@
 // NextClaim returns the next claim to send, if any. absent has the agents from which the leader has not heard lately. An
 // agent of rank n waits for n quarters of a term longer than the most preferred one, so that claims don't collide.
 func (d *LeaseClaimer) NextClaim(now float64, r *Record, absent map[string]bool) (Command, bool) {
-	for _, needed := range r.neededLeases() {
+	allNeeded := r.neededLeases()
+	d.forgetOthers(allNeeded)
+	for _, needed := range allNeeded {
 		name := needed.lease
 		lease := r.Leases[name]
 		change, ok := d.lastChange[name]
@@ -171,3 +173,18 @@
 	}
 	return Command{}, false
 }
+
+// forgetOthers forgets what is known of leases that are no longer needed: each operation has a lease of its own.
+func (d *LeaseClaimer) forgetOthers(allNeeded []neededLease) {
+	if len(d.lastChange) <= len(allNeeded) {
+		return // lastChange has all that are needed
+	}
+	isNeeded := make(map[string]bool, len(allNeeded))
+	for _, needed := range allNeeded {
+		isNeeded[needed.lease] = true
+	}
+	notNeeded := func(name string) bool { return !isNeeded[name] }
+	maps.DeleteFunc(d.lastChange, func(name string, _ leaseChange) bool { return notNeeded(name) })
+	maps.DeleteFunc(d.preferredSince, func(name string, _ float64) bool { return notNeeded(name) })
+	maps.DeleteFunc(d.claimedAt, func(name string, _ float64) bool { return notNeeded(name) })
+}
