A worker that is back in the list is not charged with postings of peers that died meanwhile

What operators see: a worker that left the list while postings of this scheduler ran there, and came back after one of its peers had died, counts as holding that peer's postings for ever, and gets little or no work from this scheduler. Cause: peers' counts are cleared at listed workers alone. Evidence: TestWorkerBackInTheListHasNoPostingsOfDeadPeers failed (2 postings known, 1 is there) and passes now: the counts go with the worker's place in the list, and the peers' next messages bring them back.

--- a/balance/departure_test.go
+++ b/balance/departure_test.go
@@ -57,3 +57,31 @@
 		}
 	}
 }
+
+// The postings of a peer that died while a worker was out of the list were counted there for ever once it was back, as only
+// listed workers forget a silent peer.
+func TestWorkerBackInTheListHasNoPostingsOfDeadPeers(t *testing.T) {
+	terms := testTerms
+	terms.Schedulers, terms.Messages = 2, true
+	s, peer := newTestScheduler(terms, 1), newTestScheduler(terms, 1)
+	for _, scheduler := range []*Scheduler{s, peer} {
+		arrive(scheduler, 1000, "x", 0, 100)
+		mustPost(t, scheduler, 1000)
+		scheduler.Started(1001, "x", 0)
+	}
+	body, ok := peer.NextMessage(2000)
+	if !ok {
+		t.Fatal("the peer has no message")
+	}
+	s.MessageReceived(2001, 1, body)
+	w := s.workersByID["w0"]
+	if w.knownInFlight() != 2 {
+		t.Fatalf("%d postings are known, want 2", w.knownInFlight())
+	}
+	s.ListChanged(3000, true, nil)
+	s.dropSilentPeers(4000 + 30*s.messageGapMs()) // the peer is gone
+	s.ListChanged(90000, true, []Listed{{ID: "w0", Weight: 1}})
+	if w = s.workersByID["w0"]; w.knownInFlight() != 1 {
+		t.Errorf("%d postings are known, want this scheduler's own one", w.knownInFlight())
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -198,6 +198,7 @@
 	for _, w := range previous {
 		if !w.inList {
 			s.markDirty(w)
+			w.peerInFlight, w.peerInFlightSum = nil, 0 // peers' messages tell them again once it is back
 			if len(w.inFlight) == 0 {
 				s.forgetWorker(now, w)
 			}
