--- a/fleet/record_test.go
+++ b/fleet/record_test.go
@@ -224,3 +224,21 @@
 		t.Errorf("%+v %+v", claim, answer)
 	}
 }
+
+// A worker that was put back into service keeps its row in the record for ever: once there were maxWorkers of them, no further worker
+// can be taken out.
+func TestRecordHasRoomAfterWorkersWerePutBack(t *testing.T) {
+	r := NewRecord()
+	for i := range maxWorkers {
+		id := fmt.Sprint("w", i)
+		out := Command{Verb: "out", ID: id, Zone: "a", By: "ann", Caller: "ann", Number: uint64(2*i + 1)}
+		if answer := applyCommand(t, r, out); !answer.Applied {
+			t.Fatalf("taking out %s: %+v", id, answer)
+		}
+		applyCommand(t, r, Command{Verb: "in", ID: id, By: "ann", Caller: "ann", Number: uint64(2*i + 2)})
+	}
+	answer := applyCommand(t, r, Command{Verb: "out", ID: "one more", Zone: "a", By: "ann", Caller: "ann", Number: 2*maxWorkers + 1})
+	if !answer.Applied {
+		t.Errorf("no worker is out, and one more is refused: %s", answer.Reason)
+	}
+}
