A leading voter forgets names that ask for the record no more

What operators see: a leading agent's memory grows with each name under which anybody ever asked it for the record, agents that are gone among them. Cause: the times at which they asked were never dropped. A name not heard for absentAfterMS counts as silent with or without an entry, so nothing else changes.

--- a/agent/api.go
+++ b/agent/api.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -225,9 +226,7 @@
 	agentName, now := r.URL.Query().Get("agent"), a.clock.Now()
 	view, viewChanged := a.voter.View()
 	if view.IsLeader && agentName != "" {
-		a.mu.Lock()
-		a.heardAtMS[agentName] = now
-		a.mu.Unlock()
+		a.noteHeard(agentName, now)
 	}
 	if view.LastCommand <= after && view.IsLeader {
 		timer := time.NewTimer(longPollTimeout)
@@ -259,6 +258,17 @@
 	writeJSON(w, 200, update)
 }
 
+// noteHeard records that an agent, or whoever gives this name, has asked for the record. Names not heard within absentAfterMS count
+// as silent with or without an entry, so a new name takes their place.
+func (a *Agent) noteHeard(name string, now float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, known := a.heardAtMS[name]; !known {
+		maps.DeleteFunc(a.heardAtMS, func(_ string, heardAt float64) bool { return now > heardAt+absentAfterMS })
+	}
+	a.heardAtMS[name] = now
+}
+
 // silentAgents returns the agents that have not asked this leader for the record within absentAfterMS. A new leader counts
 // that time from when it came to lead, so that it reports none before.
 func (a *Agent) silentAgents(view quorum.View) (ids []string) {
