--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,7 +4,7 @@
 // events (Arrived, Started, Ended, TxnClosed, ListChanged, WatchAnswered, SetListValidUntil, Probed,
 // MessageReceived, StopAt), which only update state. It then polls for decisions, one per call, until there are
 // none (NextFinal, NextCancel, NextPosting, NextProbe, NextMessage, NextWatch), and polls again at Wake. The types
-// of this interface are in types.go, the code that only updates state is in state.go.
+// of this interface are in types.go; the code that only updates state is in state.go, membership.go and peers.go.
 //
 // The ordinary path is ADUS: rerank sorts the workers by load, band divides txns by cost into bands of equal
 // work, and pickWorker sends a txn to the worker at its band's rank. The worker list is applied as discovery
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -1,8 +1,6 @@
 package balance
 
-import (
-	"hash/crc32"
-)
+import "hash/crc32"
 
 // Handover of an open txn from one process of this scheduler to another, as in a hot restart: the old process
 // exports all that the rules need to know of the txn, and the new one goes on with it. No decisions are made
