A request's time counts from its own last byte, whatever is read on its connection later

Cause: the wait was counted from the last read on the connection. Fix: a connection records when the bytes that wait on it were read, and a request's arrival is that of its own last byte. The records are bounded (0.1 s apart, 256).

Evidence: TestWaitingRequestKeepsItsTimeWhateverIsReadLater failed (a worker told 1,479 ms, its client had 877 left) and passes now.

--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -366,8 +366,8 @@
 }
 
 // unreadWaitMs returns how long the request may have waited unread, in ms, because the connection was not accepted, its bytes
-// were not read, or the process was stalled. The client's timeout counts from the arrival of the request's last byte. Less than
-// minWaitMs counts as 0.
+// were not read, the process was stalled, or an earlier request on the connection was open. The client's timeout counts from the
+// arrival of the request's last byte, whatever arrived after it. Less than minWaitMs counts as 0.
 func (c *client) unreadWaitMs() float64 {
 	ms := float64(time.Since(c.conn.EarliestArrival())) / float64(time.Millisecond)
 	if ms < minWaitMs {
--- /dev/null
+++ b/scheduler/eventloop/arrivals.go
@@ -0,0 +1,53 @@
+package eventloop
+
+import "time"
+
+const (
+	// Reads of bytes that wait on a connection are told apart down to this time: a client that sends a byte at a time must not
+	// make the loop keep a record of each.
+	arrivalResolution = 100 * time.Millisecond
+	maxArrivals       = 256 // records on one connection; what is read beyond that counts as read with the last one
+)
+
+// arrival is the earliest time at which a section of a connection's bytes may have arrived. The section reaches from the end of
+// the one before to its own end, counted in bytes from the first byte of the connection.
+type arrival struct {
+	end uint64
+	at  time.Time
+}
+
+// arrivals records when the bytes of a connection arrived, from the one discarded last to the one read last.
+type arrivals struct {
+	read, discarded uint64    // bytes
+	waiting         []arrival // of bytes that are not discarded, in order
+	lastDiscarded   time.Time // of the byte discarded last; before that, of the connection
+}
+
+// noteRead records that n more bytes were read, which may have arrived at this time at the earliest.
+func (a *arrivals) noteRead(n int, at time.Time) {
+	a.read += uint64(n)
+	if last := len(a.waiting) - 1; last >= 0 &&
+		(len(a.waiting) >= maxArrivals || at.Sub(a.waiting[last].at) < arrivalResolution) {
+		a.waiting[last].end = a.read
+		return
+	}
+	a.waiting = append(a.waiting, arrival{a.read, at})
+}
+
+// noteDiscarded records that n bytes were discarded.
+func (a *arrivals) noteDiscarded(n int) {
+	if n <= 0 {
+		return
+	}
+	a.discarded += uint64(n)
+	for len(a.waiting) > 0 && a.waiting[0].end < a.discarded {
+		a.waiting = a.waiting[1:]
+	}
+	if len(a.waiting) == 0 {
+		return
+	}
+	a.lastDiscarded = a.waiting[0].at
+	if a.waiting[0].end == a.discarded {
+		a.waiting = a.waiting[1:]
+	}
+}
--- a/scheduler/eventloop/conn.go
+++ b/scheduler/eventloop/conn.go
@@ -18,7 +18,8 @@
 	// Write sends b; bytes that the kernel's send buffer does not take yet are buffered and sent later. If the connection turns
 	// out to have ended, it is closed, and the handler's Closed called, within the call.
 	Write(b []byte) error
-	// EarliestArrival is the earliest time at which the bytes that were read last may have arrived in the kernel.
+	// EarliestArrival is the earliest time at which the byte that was discarded last may have arrived in the kernel, whatever was
+	// read after it.
 	EarliestArrival() time.Time
 	// SetWriteDeadline sets the time after which buffered bytes are no longer sent: the connection is then closed with
 	// os.ErrDeadlineExceeded as soon as it becomes writable.
@@ -44,6 +45,7 @@
 	context       any
 	open          bool
 	inLoopBuffer  []byte    // the bytes just read, in the loop's shared buffer; valid during the DataReceived callback only
+	arrivals      arrivals  // of the bytes that were read
 	inbound       []byte    // bytes of earlier reads that were not discarded; they precede inLoopBuffer
 	outbound      []byte    // not taken by the kernel yet
 	writeDeadline time.Time // zero: none
@@ -52,7 +54,9 @@
 
 // addConn creates the connection of a descriptor; epoll does not report it before its interest is set.
 func (l *Loop) addConn(fd int, context any) *conn {
-	c := &conn{loop: l, fd: fd, context: context, open: true, interest: interest{loop: l, fd: fd, earliestArrival: time.Now()}}
+	now := time.Now()
+	c := &conn{loop: l, fd: fd, context: context, open: true, arrivals: arrivals{lastDiscarded: now},
+		interest: interest{loop: l, fd: fd, earliestArrival: now}}
 	l.sources[fd] = c
 	return c
 }
@@ -74,7 +78,7 @@
 func (c *conn) SetContext(context any)     { c.context = context }
 func (c *conn) InboundBuffered() int       { return len(c.inbound) + len(c.inLoopBuffer) }
 func (c *conn) OutboundBuffered() int      { return len(c.outbound) }
-func (c *conn) EarliestArrival() time.Time { return c.interest.earliestArrival }
+func (c *conn) EarliestArrival() time.Time { return c.arrivals.lastDiscarded }
 
 func (c *conn) SetWriteDeadline(t time.Time) { c.writeDeadline = t }
 
@@ -94,6 +98,7 @@
 }
 
 func (c *conn) Discard(n int) {
+	c.arrivals.noteDiscarded(min(n, c.InboundBuffered()))
 	left := len(c.inbound)
 	if n < left {
 		c.inbound = c.inbound[n:]
@@ -122,6 +127,7 @@
 	case n == 0:
 		c.closeWith(os.NewSyscallError("read", io.EOF))
 	default:
+		c.arrivals.noteRead(n, c.interest.earliestArrival)
 		c.inLoopBuffer = c.loop.buffer[:n]
 		c.loop.handler.DataReceived(c)
 		if c.open {
--- a/scheduler/live_test.go
+++ b/scheduler/live_test.go
@@ -335,6 +335,54 @@
 	v.expectAnswer(fresh, 200, "ok fresh")
 }
 
+// A request that waited behind an open one got its whole time anew when bytes of a later request were read meanwhile, and was
+// answered late.
+func TestWaitingRequestKeepsItsTimeWhateverIsReadLater(t *testing.T) {
+	t.Parallel()
+	const waits, timeout = 600 * time.Millisecond, 1500 * time.Millisecond
+	v := newLive(t)
+	timed := func(ref string) string {
+		return strings.Replace(requestText(ref), "Host: h\r\n", "Host: h\r\nRequest-Timeout: 1500m\r\n", 1)
+	}
+	third := timed("third")
+	sent := time.Now()
+	c := v.connectClient(timed("first") + timed("second"))
+	first := v.nextWorkerCall()
+	time.Sleep(waits / 2)
+	io.WriteString(c, third[:20])
+	time.Sleep(waits / 2)
+	io.WriteString(c, third[20:])
+	thirdSent := time.Now()
+	waitAcked(t, c, false)
+	time.Sleep(20 * time.Millisecond) // the loop reads it
+	first.answerDone()
+	answers := bufio.NewReader(c)
+	for _, expected := range []struct {
+		ref  string
+		sent time.Time
+	}{{"second", sent}, {"third", thirdSent}} {
+		call := v.nextWorkerCall()
+		waited := time.Since(expected.sent)
+		ms, err := strconv.Atoi(strings.TrimSuffix(call.requestTimeout, "m"))
+		told := time.Duration(ms) * time.Millisecond
+		const slack = 150 * time.Millisecond // of what workers are told
+		if err != nil || call.ref != expected.ref || told > timeout-waited+slack || told < timeout-waited-slack {
+			t.Errorf("%s: its worker was told %s, and its client has %v left", call.ref, call.requestTimeout, timeout-waited)
+		}
+		call.answerDone()
+	}
+	for _, ref := range []string{"first", "second", "third"} {
+		answer, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatalf("no answer to %s: %v", ref, err)
+		}
+		body, err := io.ReadAll(answer.Body)
+		if err != nil || answer.StatusCode != 200 || !strings.Contains(string(body), "ok "+ref) {
+			t.Errorf("%s: got %d %q %v", ref, answer.StatusCode, body, err)
+		}
+	}
+}
+
 // holdAtDrainEnd begins a drain, and holds the event loop at a moment when nothing is left to do: the drain ends as
 // soon as the loop goes on, unless something came meanwhile.
 func (v *liveScheduler) holdAtDrainEnd() (release func()) {
