balance: a random test holds that nothing is kept once all has ended

Need: single tests see single paths. TestNothingIsKeptAfterRandomEvents plays 3,000 events on each of 40 seeds (arrivals, outcomes, lists, probes, withdrawals, few and many schedulers), ends all, and asks what can still be reached: no txn, no posting, one worker.

--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"reflect"
+	"slices"
 	"testing"
 )
 
@@ -234,3 +236,93 @@
 		s.ListChanged(now+50, false, []Listed{{ID: id, State: Removed}})
 	})
 }
+
+// Whatever happened before, nothing of it is kept once all txns are closed, their postings have ended, and the list is as at first.
+func TestNothingIsKeptAfterRandomEvents(t *testing.T) {
+	for seed := range int64(40) {
+		r := rand.New(rand.NewSource(seed))
+		terms := testTerms
+		terms.Schedulers, terms.Messages, terms.Probes = 1+r.Intn(2)*39, true, true
+		terms.RetryBudgetWindowMs, terms.RetryBudgetRatio, terms.RetryBudgetMin = 2000, 0.5, 10
+		s := newTestScheduler(terms, 8)
+		now := 0.0
+		type openPosting struct {
+			ref    string
+			number int
+		}
+		var open []openPosting
+		numbers := map[string]int{} // of postings so far, by txn
+		end := func(i int, outcome Outcome) {
+			p := open[i]
+			open = append(open[:i], open[i+1:]...)
+			s.Ended(now, p.ref, p.number, outcome, outcome == Done, NoLoad)
+		}
+		poll := func() {
+			for decided := true; decided; {
+				_, decided = s.NextFinal(now)
+				if cancel, ok := s.NextCancel(now); ok {
+					decided = true
+					if i := slices.Index(open, openPosting{cancel.Ref, cancel.Posting}); i >= 0 {
+						end(i, Cancelled)
+					}
+				}
+				if p, ok := s.NextPosting(now); ok {
+					decided = true
+					open = append(open, openPosting{p.Ref, numbers[p.Ref]})
+					numbers[p.Ref]++
+				}
+			}
+			s.NextProbe(now)
+			s.NextMessage(now)
+			s.Wake(now)
+		}
+		refs := 0
+		for range 3000 {
+			now += r.Float64() * 40
+			id := fmt.Sprint("w", r.Intn(12))
+			switch r.Intn(12) {
+			case 0, 1, 2, 3:
+				refs++
+				arrive(s, now, fmt.Sprint(refs), r.Intn(3), 10+r.Float64()*100)
+			case 4:
+				if len(open) > 0 {
+					p := open[r.Intn(len(open))]
+					s.Started(now, p.ref, p.number)
+				}
+			case 5, 6, 7:
+				if len(open) > 0 {
+					end(r.Intn(len(open)), []Outcome{Done, Done, Done, Failed, Full, TimedOut, NoConnect, Reset, NeverSent, InvalidRequest}[r.Intn(10)])
+				}
+			case 8:
+				s.TxnClosed(now, fmt.Sprint(refs-r.Intn(10)))
+			case 9:
+				s.ListChanged(now, false, []Listed{{ID: id, Cell: r.Intn(3), Weight: 1, Start: now * float64(r.Intn(2)), State: State(r.Intn(3))}})
+			case 10:
+				s.Probed(now, id, []Outcome{Done, TimedOut, NoConnect}[r.Intn(3)], NoLoad)
+			case 11:
+				if s.Withdrawn(now, id); r.Intn(2) == 0 {
+					s.Returned(now+1, id)
+				}
+			}
+			poll()
+		}
+		for ref := range numbers {
+			s.TxnClosed(now, ref)
+		}
+		for i := range refs + 1 {
+			s.TxnClosed(now, fmt.Sprint(i))
+		}
+		poll()
+		for len(open) > 0 {
+			end(0, Reset)
+		}
+		now += 100000
+		s.ListChanged(now, true, []Listed{{ID: "last", Weight: 1}})
+		settleOne(t, s, now, "last")
+		f := footprintOf(s)
+		if f.txns > 0 || f.postings > 0 || len(s.workersByID) != 1 || len(s.formerSendLogs) > 0 || len(s.unstarted) > 0 {
+			t.Errorf("seed %d: %+v, %d workers by id, %d former send logs, %d unstarted postings are kept", seed, f, len(s.workersByID),
+				len(s.formerSendLogs), len(s.unstarted))
+		}
+	}
+}
