A connection with much behind its open request is not read for a while, in place of being closed

Cause: reading went on while a request was open, and ending the connection was the only bound on it. Fix: with 16 KiB behind an open request reading pauses until it is answered, and the kernel holds up the client. The client's end is seen during the pause, and what arrives then counts from its arrival, to 0.1 s. One connection holds at most 80 KiB, as before.

--- a/scheduler/clients.go
+++ b/scheduler/clients.go
@@ -21,6 +21,9 @@
 	defaultMemoryMB   = 64       // where the configuration gives no limit
 	bodyMemoryDivisor = 8        // 1/8 of the memory is for bodies: each is held about twice, and the collector needs as much
 	maxRefBytes       = 128      // bytes of a Request-Id
+	// Once so many bytes wait behind an open request, its connection is not read until it is answered. What one more read brings
+	// comes on top.
+	maxWaitingBytes = 16 << 10
 	// Connections accepted beyond the limit only to answer 503: the client may have written its request already.
 	extraClients = 16
 
@@ -269,7 +272,19 @@
 		return // in a call by answer the running loop goes on with what is buffered
 	}
 	c.readsBlocked = true
-	defer func() { c.readsBlocked = false }()
+	c.readRequests()
+	c.readsBlocked = false
+	if c.conn == nil {
+		return
+	}
+	if c.closing {
+		c.conn.Discard(c.conn.InboundBuffered())
+	}
+	c.limitWaitingBytes()
+}
+
+// readRequests handles what is buffered, until a request is open, or the connection ends or needs more bytes.
+func (c *client) readRequests() {
 	for c.conn != nil && c.txn == nil && !c.closing {
 		buf := c.conn.Peek()
 		if len(buf) == 0 {
@@ -300,13 +315,15 @@
 		}
 		c.handleRequest()
 	}
-	if c.conn == nil {
-		return
-	}
-	if c.closing {
-		c.conn.Discard(c.conn.InboundBuffered())
-	} else if c.conn.InboundBuffered() > maxHeadBytes+maxBodyBytes {
-		c.close() // more than one request is buffered beyond the open one: the client does not wait for answers
+}
+
+// limitWaitingBytes stops reading the connection while enough waits behind its open request, and goes on once that is answered.
+// What the client sends meanwhile stays in the kernel.
+func (c *client) limitWaitingBytes() {
+	if c.txn != nil && c.conn.InboundBuffered() >= maxWaitingBytes {
+		c.conn.PauseReads()
+	} else {
+		c.conn.ResumeReads()
 	}
 }
 
@@ -413,9 +430,8 @@
 	}
 	if c.closing {
 		c.shutdownWrite()
-	} else if c.conn.InboundBuffered() > 0 {
-		c.traffic(c.conn)
 	}
+	c.traffic(c.conn) // what waits behind the request
 }
 
 // responseHead returns the head of a response with a body of size bytes. extraLines holds further header lines, each with its
@@ -455,6 +471,9 @@
 			continue
 		}
 		c := cs.all[i]
+		if c.conn.ReadsPaused() {
+			c.conn.NoteUnread()
+		}
 		age := now - c.stateSince
 		switch {
 		case c.writeClosed:
--- a/scheduler/eventloop/arrivals.go
+++ b/scheduler/eventloop/arrivals.go
@@ -16,22 +16,42 @@
 	at  time.Time
 }
 
-// arrivals records when the bytes of a connection arrived, from the one discarded last to the one read last.
+// arrivals records when the bytes of a connection arrived, from the one discarded last to the last one known.
 type arrivals struct {
 	read, discarded uint64    // bytes
+	arrived         uint64    // bytes that are known to have arrived, read or not
+	checkedAt       time.Time // no more than these had arrived by this time
 	waiting         []arrival // of bytes that are not discarded, in order
 	lastDiscarded   time.Time // of the byte discarded last; before that, of the connection
 }
 
 // noteRead records that n more bytes were read, which may have arrived at this time at the earliest.
 func (a *arrivals) noteRead(n int, at time.Time) {
+	if at.Before(a.checkedAt) {
+		at = a.checkedAt
+	}
 	a.read += uint64(n)
+	a.noteArrived(a.read, at)
+}
+
+// noteUnread records that by now n bytes wait in the kernel.
+func (a *arrivals) noteUnread(n int, now time.Time) {
+	a.noteArrived(a.read+uint64(n), a.checkedAt)
+	a.checkedAt = now
+}
+
+// noteArrived records that the bytes up to end have arrived: those that were not known of at this time at the earliest.
+func (a *arrivals) noteArrived(end uint64, at time.Time) {
+	if end <= a.arrived {
+		return
+	}
+	a.arrived = end
 	if last := len(a.waiting) - 1; last >= 0 &&
 		(len(a.waiting) >= maxArrivals || at.Sub(a.waiting[last].at) < arrivalResolution) {
-		a.waiting[last].end = a.read
+		a.waiting[last].end = end
 		return
 	}
-	a.waiting = append(a.waiting, arrival{a.read, at})
+	a.waiting = append(a.waiting, arrival{end, at})
 }
 
 // noteDiscarded records that n bytes were discarded.
--- a/scheduler/eventloop/arrivals_test.go
+++ b/scheduler/eventloop/arrivals_test.go
@@ -57,3 +57,22 @@
 		t.Errorf("%d records are left", len(a.waiting))
 	}
 }
+
+// Bytes that arrive while reads are paused count from the check before the one that found them.
+func TestArrivalDuringPause(t *testing.T) {
+	begin := time.Now()
+	at := func(seconds int) time.Time { return begin.Add(time.Duration(seconds) * time.Second) }
+	var a arrivals
+	a.noteRead(10, at(0))
+	a.checkedAt = at(1) // the pause begins
+	a.noteUnread(0, at(2))
+	a.noteUnread(5, at(3))
+	a.noteUnread(5, at(4))
+	a.noteUnread(8, at(5))
+	a.noteRead(9, at(0)) // one byte came after the last check
+	for _, want := range []struct{ discard, seconds int }{{10, 0}, {5, 2}, {3, 4}, {1, 5}} {
+		if a.noteDiscarded(want.discard); !a.lastDiscarded.Equal(at(want.seconds)) {
+			t.Errorf("%d bytes: arrived after %v, want %d s", want.discard, a.lastDiscarded.Sub(begin), want.seconds)
+		}
+	}
+}
--- a/scheduler/eventloop/conn.go
+++ b/scheduler/eventloop/conn.go
@@ -21,6 +21,15 @@
 	// EarliestArrival is the earliest time at which the byte that was discarded last may have arrived in the kernel, whatever was
 	// read after it.
 	EarliestArrival() time.Time
+	// PauseReads stops reading: what arrives stays in the kernel, whose buffer then holds up the sender. The end of the connection
+	// is still reported, once all bytes before it are in the kernel. ResumeReads goes on; either may be called in any state.
+	PauseReads()
+	ResumeReads()
+	// ReadsPaused tells whether reading is stopped.
+	ReadsPaused() bool
+	// NoteUnread records how much waits in the kernel, so that EarliestArrival is known for bytes that arrive during a pause: to
+	// the time between two calls.
+	NoteUnread()
 	// SetWriteDeadline sets the time after which buffered bytes are no longer sent: the connection is then closed with
 	// os.ErrDeadlineExceeded as soon as it becomes writable.
 	SetWriteDeadline(t time.Time)
@@ -38,12 +47,21 @@
 	SetContext(any)
 }
 
+// readState says whether a connection is read.
+type readState int
+
+const (
+	reading readState = iota
+	paused            // by PauseReads
+)
+
 type conn struct {
 	loop          *Loop
 	fd            int
 	interest      interest
 	context       any
 	open          bool
+	readState     readState
 	inLoopBuffer  []byte    // the bytes just read, in the loop's shared buffer; valid during the DataReceived callback only
 	arrivals      arrivals  // of the bytes that were read
 	inbound       []byte    // bytes of earlier reads that were not discarded; they precede inLoopBuffer
@@ -80,6 +98,28 @@
 func (c *conn) OutboundBuffered() int      { return len(c.outbound) }
 func (c *conn) EarliestArrival() time.Time { return c.arrivals.lastDiscarded }
 
+func (c *conn) ReadsPaused() bool { return c.readState == paused }
+
+func (c *conn) PauseReads() {
+	if c.open && c.readState != paused {
+		c.readState, c.arrivals.checkedAt = paused, time.Now()
+		c.updateInterest()
+	}
+}
+
+func (c *conn) ResumeReads() {
+	if c.open && c.readState != reading {
+		c.readState = reading
+		c.updateInterest()
+	}
+}
+
+func (c *conn) NoteUnread() {
+	if n, err := unix.IoctlGetInt(c.fd, unix.SIOCINQ); err == nil {
+		c.arrivals.noteUnread(n, time.Now())
+	}
+}
+
 func (c *conn) SetWriteDeadline(t time.Time) { c.writeDeadline = t }
 
 func (c *conn) Peek() []byte {
@@ -110,7 +150,10 @@
 
 // handleEvents reads before it writes, so that bytes that the other side sent before it closed are still read.
 func (c *conn) handleEvents(events uint32) {
-	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+	switch {
+	case c.readState == paused:
+		c.handleEndDuringPause(events)
+	case events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0:
 		c.interest.readable()
 		c.read()
 	}
@@ -119,6 +162,20 @@
 	}
 }
 
+// handleEndDuringPause closes a paused connection that the other side has ended. The bytes before the end are not read any more.
+func (c *conn) handleEndDuringPause(events uint32) {
+	switch {
+	case events&unix.EPOLLERR != 0:
+		reason := unix.ECONNRESET
+		if code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err == nil && code != 0 {
+			reason = unix.Errno(code)
+		}
+		c.closeWith(os.NewSyscallError("read", reason))
+	case events&(unix.EPOLLRDHUP|unix.EPOLLHUP) != 0:
+		c.closeWith(os.NewSyscallError("read", io.EOF))
+	}
+}
+
 func (c *conn) read() {
 	n, err := unix.Read(c.fd, c.loop.buffer)
 	switch {
@@ -160,17 +217,20 @@
 	c.updateInterest()
 }
 
-// updateInterest has epoll report what the connection waits for: readability always, writability while bytes are buffered, and
-// nothing during a pause.
+// updateInterest has epoll report what the connection waits for: readability, or the other side's end alone while reads are paused;
+// writability while bytes are buffered; and nothing while a resource is short.
 func (c *conn) updateInterest() {
-	switch {
-	case c.pauseTimer != nil:
-		c.interest.set(0)
-	case len(c.outbound) > 0:
-		c.interest.set(unix.EPOLLIN | unix.EPOLLOUT)
-	default:
-		c.interest.set(unix.EPOLLIN)
+	events := uint32(unix.EPOLLIN)
+	if c.readState == paused {
+		events = unix.EPOLLRDHUP
+	}
+	if len(c.outbound) > 0 {
+		events |= unix.EPOLLOUT
+	}
+	if c.pauseTimer != nil {
+		events = 0
 	}
+	c.interest.set(events)
 }
 
 func (c *conn) Write(b []byte) error {
--- a/scheduler/live_test.go
+++ b/scheduler/live_test.go
@@ -371,7 +371,22 @@
 		}
 		call.answerDone()
 	}
-	for _, ref := range []string{"first", "second", "third"} {
+	expectAnswers(t, answers, "first", "second", "third")
+}
+
+// bigRequest is a request of this size in bytes.
+func bigRequest(ref string, size int) string {
+	head := func(bodyLen int) string {
+		return fmt.Sprintf("POST /look HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nWork-Hint: 1000\r\nContent-Length: %05d\r\n\r\n", ref, bodyLen)
+	}
+	bodyLen := size - len(head(0))
+	return head(bodyLen) + strings.Repeat("x", bodyLen)
+}
+
+// expectAnswers reads the answers to requests in their order.
+func expectAnswers(t *testing.T, answers *bufio.Reader, refs ...string) {
+	t.Helper()
+	for _, ref := range refs {
 		answer, err := http.ReadResponse(answers, nil)
 		if err != nil {
 			t.Fatalf("no answer to %s: %v", ref, err)
@@ -383,6 +398,88 @@
 	}
 }
 
+// A client that sent more than 80 KiB behind its open request was cut off, and lost the answer to the open one with those that
+// waited.
+func TestWhatWaitsBehindAnOpenRequestCostsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, sizes := range [][]int{{40 << 10, 40 << 10, 40 << 10}, {maxWaitingBytes - 1, 200}, {maxWaitingBytes, 200}, {maxWaitingBytes + 1, 200},
+		{200, maxWaitingBytes - 200, 60 << 10}, {60 << 10, 64 << 10, 60 << 10, 200, 64 << 10}} {
+		t.Run(fmt.Sprint(sizes), func(t *testing.T) {
+			t.Parallel()
+			v := newLive(t)
+			text, refs := requestText("open"), []string{"open"}
+			for i, size := range sizes {
+				refs = append(refs, fmt.Sprint("waits", i))
+				text += bigRequest(refs[i+1], size)
+			}
+			c := v.connectClient("")
+			go func() { _, _ = io.WriteString(c, text) }() // blocks while the scheduler does not read
+			call := v.nextWorkerCall()
+			time.Sleep(100 * time.Millisecond)
+			if n := onLoopResult(v, func() int { return v.clients.all[0].conn.InboundBuffered() }); n > maxWaitingBytes+64<<10 {
+				t.Errorf("%d bytes are held while a request is open", n)
+			}
+			call.answerDone()
+			for range sizes {
+				v.nextWorkerCall().answerDone()
+			}
+			expectAnswers(t, bufio.NewReader(c), refs...)
+		})
+	}
+}
+
+// The end of a client is seen while its connection is not read, in time to give up what runs for it.
+func TestClientThatLeavesWhileReadsArePausedIsSeen(t *testing.T) {
+	t.Parallel()
+	for name, leave := range map[string]func(c *net.TCPConn){
+		"closed": func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) {
+			c.SetLinger(0)
+			c.Close()
+		},
+		"half-closed": func(c *net.TCPConn) { c.CloseWrite() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := newLive(t)
+			c := v.connectClient(requestText("open") + bigRequest("waits1", 60<<10) + bigRequest("waits2", 60<<10))
+			v.nextWorkerCall()
+			v.waitUntil("its reads are paused", func() bool { return v.clients.all[0].conn.ReadsPaused() })
+			waitAcked(t, c, false)
+			left := time.Now()
+			leave(c)
+			v.waitUntil("it is seen", func() bool { return len(v.clients.all) == 0 && len(v.driver.txns) == 0 })
+			if took := time.Since(left); took > 100*time.Millisecond {
+				t.Errorf("its end was seen after %v, want at most 0.1 s", took)
+			}
+		})
+	}
+}
+
+// What arrives while a connection is not read counts from its arrival, not from the beginning of the pause nor from its end.
+func TestRequestThatArrivesWhileReadsArePausedKeepsItsTime(t *testing.T) {
+	t.Parallel()
+	const waits, timeout, slack = 400 * time.Millisecond, 1500 * time.Millisecond, 250 * time.Millisecond
+	v := newLive(t)
+	c := v.connectClient(requestText("open") + bigRequest("waits", 30<<10))
+	open := v.nextWorkerCall()
+	v.waitUntil("its reads are paused", func() bool { return v.clients.all[0].conn.ReadsPaused() })
+	time.Sleep(waits)
+	sent := time.Now()
+	io.WriteString(c, strings.Replace(requestText("late"), "Host: h\r\n", "Host: h\r\nRequest-Timeout: 1500m\r\n", 1))
+	time.Sleep(waits)
+	open.answerDone()
+	v.nextWorkerCall().answerDone()
+	late := v.nextWorkerCall()
+	left := timeout - time.Since(sent)
+	ms, err := strconv.Atoi(strings.TrimSuffix(late.requestTimeout, "m"))
+	if told := time.Duration(ms) * time.Millisecond; err != nil || told > left+slack/2 || told < left-slack {
+		t.Errorf("its worker was told %s, and its client has %v left", late.requestTimeout, left)
+	}
+	late.answerDone()
+	expectAnswers(t, bufio.NewReader(c), "open", "waits", "late")
+}
+
 // holdAtDrainEnd begins a drain, and holds the event loop at a moment when nothing is left to do: the drain ends as
 // soon as the loop goes on, unless something came meanwhile.
 func (v *liveScheduler) holdAtDrainEnd() (release func()) {
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -35,6 +35,9 @@
 func (c *fakeConn) OutboundBuffered() int      { return c.unsentBytes }
 func (c *fakeConn) Peek() []byte               { return c.input }
 func (c *fakeConn) EarliestArrival() time.Time { return time.Now() }
+func (c *fakeConn) PauseReads()                {}
+func (c *fakeConn) ResumeReads()               {}
+func (c *fakeConn) ReadsPaused() bool          { return false }
 
 func (c *fakeConn) SetWriteDeadline(time.Time) {}
 
