Numbers of kinds without names are kept where only the zones change in an upgrade

What callers would see: an upgrade to settings with another order of zones gives up each handed-over txn of a scheme that is bound to a kind by number, where the settings name no kinds. Cause: both lists were renumbered if either differed. Now a list that is equal at both processes is left alone. TestNumbersOfUnchangedListsAreKept failed before (kinds 0 for 8, no posting left).

--- a/balance/group_test.go
+++ b/balance/group_test.go
@@ -165,6 +165,15 @@
 	}
 }
 
+// Kinds may have numbers without names: a txn bound to one was given up where only the zones of the new process are others.
+func TestNumbersOfUnchangedListsAreKept(t *testing.T) {
+	state := TxnState{Scheme: SchemeRow{Zones: 1, Kinds: 1 << 3}, MaxPostings: 6, Postings: []PostingState{{Place: &Place{Zone: 0}}}}
+	want := TxnState{Scheme: SchemeRow{Zones: 1 << 1, Kinds: 1 << 3}, MaxPostings: 6, Postings: []PostingState{{Place: &Place{Zone: 1}}}}
+	if state.Renumber([]int{1, 0}, nil); !reflect.DeepEqual(state, want) {
+		t.Errorf("%+v, want %+v", state, want)
+	}
+}
+
 // A txn whose scheme is bound to a zone that the new process's settings don't have is posted nowhere, and is given up.
 func TestHandedOverTxnOfUnknownZoneIsGivenUp(t *testing.T) {
 	s := newTestScheduler(testTerms, 4)
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -106,8 +106,8 @@
 }
 
 // Renumber replaces the numbers of zones and kinds, which are indexes into the exporting process's settings. zones and kinds
-// have the importing process's number for each of these, UnknownPlace where its settings don't have the name. A txn whose
-// scheme is bound to none that they have is posted to no further worker.
+// have the importing process's number for each of these, UnknownPlace where its settings don't have the name; nil where all
+// numbers are the same. A txn whose scheme is bound to none that they have is posted to no further worker.
 func (c *TxnState) Renumber(zones, kinds []int) {
 	for i := range c.Postings {
 		if place := c.Postings[i].Place; place != nil {
@@ -125,6 +125,9 @@
 
 // renumbered returns the new number of a zone or kind.
 func renumbered(number int, newNumbers []int) int {
+	if newNumbers == nil {
+		return number
+	}
 	if number < 0 || number >= len(newNumbers) {
 		return UnknownPlace
 	}
--- a/scheduler/transfer.go
+++ b/scheduler/transfer.go
@@ -368,8 +368,11 @@
 	return &placeNames{s.node.decoded.Zones, s.node.decoded.Kinds}
 }
 
-// numbersIn returns for each of names its index in own, or balance.UnknownPlace.
+// numbersIn returns for each of names its index in own, or balance.UnknownPlace. It returns nil where the lists are equal.
 func numbersIn(own, names []string) []int {
+	if slices.Equal(own, names) {
+		return nil
+	}
 	numbers := make([]int, len(names))
 	for i, name := range names {
 		numbers[i] = indexOf(own, name)
@@ -379,10 +382,9 @@
 
 // renumberPlaces gives a txn's state this process's numbers of zones and kinds, where the sender's lists are others.
 func (t *transferredTxn) renumberPlaces(own *placeNames) {
-	if t.Names == nil || slices.Equal(t.Names.Zones, own.Zones) && slices.Equal(t.Names.Kinds, own.Kinds) {
-		return
+	if t.Names != nil {
+		t.State.Renumber(numbersIn(own.Zones, t.Names.Zones), numbersIn(own.Kinds, t.Names.Kinds))
 	}
-	t.State.Renumber(numbersIn(own.Zones, t.Names.Zones), numbersIn(own.Kinds, t.Names.Kinds))
 }
 
 // resumeTxn restores a txn of the draining process. It returns a worker connection for each posting of the message, which the
