Bytes that are unread when a pause begins count from their arrival, not from the pause

What workers would be told: after a time in which the loop was busy, up to that time more than the client has left, for requests beyond the first read of a connection that is then paused. Cause: a pause began as if nothing were unread. Now what waits in the kernel is noted at its begin, with the earliest time at which it may have come. TestBytesUnreadAtBeginOfPauseKeepTheirArrival failed before (200.6 ms too late after 200 ms of a busy loop). Found on reading again; a comment of the lease claimer says what holds.

--- a/fleet/lease_claims.go
+++ b/fleet/lease_claims.go
@@ -177,7 +177,7 @@
 // forgetOthers forgets what is known of leases that are no longer needed: each operation has a lease of its own.
 func (d *LeaseClaimer) forgetOthers(allNeeded []neededLease) {
 	if len(d.lastChange) <= len(allNeeded) {
-		return // lastChange has all that are needed
+		return // there are no more than are needed, so nothing grows
 	}
 	isNeeded := make(map[string]bool, len(allNeeded))
 	for _, needed := range allNeeded {
--- a/scheduler/eventloop/conn.go
+++ b/scheduler/eventloop/conn.go
@@ -102,7 +102,8 @@
 
 func (c *conn) PauseReads() {
 	if c.open && c.readState != paused {
-		c.readState, c.arrivals.checkedAt = paused, time.Now()
+		c.readState, c.arrivals.checkedAt = paused, c.interest.earliestArrival
+		c.NoteUnread()
 		c.updateInterest()
 	}
 }
--- a/scheduler/eventloop/pause_test.go
+++ b/scheduler/eventloop/pause_test.go
@@ -80,3 +80,37 @@
 		}
 	}
 }
+
+// Bytes that were in the kernel when a pause began, after a time in which the loop was busy, counted as having come at its begin.
+func TestBytesUnreadAtBeginOfPauseKeepTheirArrival(t *testing.T) {
+	const total = 2 * readBufferBytes
+	paused, since := make(chan Conn, 1), make(chan time.Time, 1)
+	received := 0
+	l, addr := run(t, &recorder{traffic: func(c Conn) {
+		received += c.InboundBuffered()
+		c.Discard(c.InboundBuffered())
+		switch {
+		case received >= total:
+			since <- c.EarliestArrival()
+		case len(paused) == 0:
+			c.PauseReads()
+			paused <- c
+		}
+	}})
+	c := connect(t, addr)
+	time.Sleep(20 * time.Millisecond) // it is accepted
+	busy := make(chan bool)
+	l.Execute(func() {
+		close(busy)
+		time.Sleep(200 * time.Millisecond)
+	})
+	<-busy
+	if _, err := c.Write(make([]byte, total)); err != nil {
+		t.Fatal(err)
+	}
+	sent := time.Now()
+	l.Execute(get(t, paused).ResumeReads)
+	if at := get(t, since); at.After(sent) {
+		t.Errorf("the last byte counts as come %v after it was sent", at.Sub(sent))
+	}
+}
