--- a/review/rig/case_reload.go
+++ b/review/rig/case_reload.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -10,11 +12,12 @@
 func init() { cases["reload"] = caseReload }
 
 // caseReload: a new configuration by SIGHUP brings a scheme whose optional key is absent, and discovery at a new address. The
-// rule: nothing goes to a worker later than the grace after the scheduler counts as told that it drains. The platform takes the
-// drained workers away one second after that.
+// rule: nothing goes to a worker later than the grace after the scheduler counts as told that it drains. All four workers are replaced, two at
+// a time: the platform takes the first two away one second after the grace, and the other two some seconds later.
 func caseReload(b *bed) (violations []string, err error) {
-	const graceMs, slackMs, toldAfterHUPMs, sendMs = 500, 50, 4000, 12000
-	workers, members := b.fleet(4, 3, fixed(300*time.Millisecond))
+	const graceMs, slackMs, toldAfterHUPMs, secondDrainMs, sendMs = 500, 50, 4000, 4000, 14000
+	workers, members := b.fleet(8, 3, fixed(300*time.Millisecond))
+	members, successors := members[:4], members[4:]
 	former := b.newDiscovery("former discovery", members)
 	next := b.newDiscovery("new discovery", members)
 	config := func(d *discovery, list []scheme) object {
@@ -57,12 +60,14 @@
 		})
 	}
 	time.Sleep(2 * time.Second)
-	draining := []string{"w0", "w1"}
+	current, draining, later := next, []string{"w0", "w1"}, []string{"w2", "w3"}
 	var told time.Time // when the drain counts as told at the latest
 	if b.trouble {
 		second := config(next, append(schemes(15000), scheme{"rush-quote", "retryable", "all", 500, 15000, 5000, 4}))
 		second["listen"], second["seed"] = listen, first["seed"]
 		b.writeConfig("config", second)
+		out, err := exec.Command("bin/shalebeam", "check", "--config", path).CombinedOutput()
+		b.logf("shalebeam check of the new configuration: %q, error %v", strings.ReplaceAll(string(out), path, "FILE"), err)
 		former.l.Close()
 		b.logf("platform: new configuration, SIGHUP; the former discovery takes no new connection")
 		p.signal(syscall.SIGHUP)
@@ -72,21 +77,27 @@
 			former.server.Close()
 		})
 		time.Sleep(time.Second)
-		next.setHealth("terminating", draining...)
 	} else {
 		time.Sleep(time.Second)
-		former.setHealth("terminating", draining...)
+		current = former
 		told = time.Now().Add((toldAfterHUPMs - 1000) * time.Millisecond)
 	}
+	current.add(successors)
+	current.setHealth("terminating", draining...)
 	limit := told.Add((graceMs + slackMs) * time.Millisecond)
 	time.Sleep(time.Until(limit.Add(time.Second)))
-	for _, w := range workers[:len(draining)] {
+	for _, w := range workers[:2] {
+		w.stop()
+	}
+	current.setHealth("terminating", later...)
+	time.Sleep(secondDrainMs * time.Millisecond)
+	for _, w := range workers[2:4] {
 		w.stop()
 	}
 	time.Sleep(time.Until(told.Add(sendMs * time.Millisecond)))
 	close(stop)
 	all.Wait()
-	for _, w := range workers[:len(draining)] {
+	for _, w := range workers[:2] {
 		n, last := 0, time.Time{}
 		for _, r := range w.received() {
 			if r.first.After(limit) {
--- a/review/rig/case_upgrade.go
+++ b/review/rig/case_upgrade.go
@@ -15,7 +15,7 @@
 // and again. The scheme is once-only. The rule: that client gets an error or a close, the request runs once, and its owner is
 // answered.
 func caseUpgrade(b *bed) (violations []string, err error) {
-	const workMs, owners = 4000, 4
+	const workMs, owners = 6000, 4
 	workers, members := b.fleet(4, 3, fixed(workMs*time.Millisecond))
 	d := b.newDiscovery("discovery", members)
 	listen, mgmtOld, mgmtNew := freeAddr(), freeAddr(), freeAddr()
--- a/review/rig/standins.go
+++ b/review/rig/standins.go
@@ -36,7 +36,6 @@
 	members []*member
 	changed chan struct{}        // closed and replaced at each change
 	told    map[string]time.Time // by host, when its last change was first written to a scheduler
-	watched time.Time            // when the last watch began
 }
 
 func (b *bed) newDiscovery(name string, members []*member) *discovery {
@@ -78,16 +77,19 @@
 	d.b.logf("%s: version %d, %s: %v", d.name, d.seq, health, hosts)
 }
 
-// waitWatch waits until a watch begins.
-func (d *discovery) waitWatch() {
-	for from := time.Now(); ; time.Sleep(5 * time.Millisecond) {
-		d.mu.Lock()
-		began := d.watched.After(from)
-		d.mu.Unlock()
-		if began || time.Since(from) > 5*time.Second {
-			return
-		}
+// add adds workers to the list.
+func (d *discovery) add(members []*member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq++
+	for _, m := range members {
+		copied := *m
+		copied.seq = d.seq
+		d.members = append(d.members, &copied)
+		d.b.logf("%s: version %d has %s, in service", d.name, d.seq, m.Host)
 	}
+	close(d.changed)
+	d.changed = make(chan struct{})
 }
 
 // handle answers a call: the whole list, or what is newer than a version, for which it waits.
@@ -100,11 +102,6 @@
 	whole := err != nil
 	waitMs, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(min(waitMs, 60000)) * time.Millisecond)
-	if waitMs > 0 {
-		d.mu.Lock()
-		d.watched = time.Now()
-		d.mu.Unlock()
-	}
 	for {
 		d.mu.Lock()
 		news := []*member{}
