--- a/review/rig/case_heads.go
+++ b/review/rig/case_heads.go
@@ -52,14 +52,22 @@
 		head := "POST /price-check HTTP/1.1\r\nHost: backend.local\r\n" + strings.Repeat("a:\r\n", 4000)
 		for range 2 * sockets {
 			all.Go(func() {
-				conn, err := net.DialTimeout("tcp", listen, time.Second)
-				if err != nil {
-					return
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					conn, err := net.DialTimeout("tcp", listen, time.Second)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, head)
+					_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
+					_, _ = io.Copy(io.Discard, conn)
+					conn.Close()
+					time.Sleep(time.Second)
 				}
-				defer conn.Close()
-				_, _ = io.WriteString(conn, head)
-				_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
-				_, _ = io.Copy(io.Discard, conn)
 			})
 		}
 	}
